--- /dev/null
+++ b/src/app/controller.cpp
@@ -0,0 +1,285 @@
+#include "app/controller.hpp"
+
+#include <algorithm>
+
+#include "base/log.hpp"
+
+namespace kestrelhoist {
+namespace {
+constexpr Duration kTick{100};
+constexpr Duration kFollowerRead{500};
+constexpr Duration kLeaderRead{250};
+constexpr Duration kMeshEvery{500};
+constexpr Duration kMeshHeard{2000};
+constexpr Duration kStoreSilent{2000};
+constexpr Duration kForwardTimeout{1800};
+constexpr Duration kLeaseLife{3000};
+constexpr Duration kLeaseRenew{700};
+constexpr Duration kStoreTimeout{1000};
+
+Feed::Settings feedSettings(const Platform& p) {
+  Feed::Settings s;
+  // Reads of all nodes together take at most about half of the state service's rate.
+  double gapS = static_cast<double>(p.nodes()) / (0.5 * p.stateRequestsPerS);
+  s.minGap = std::max(Duration{10}, fromSeconds(gapS));
+  s.timeout = kStoreTimeout;
+  s.staleAfter = kStoreSilent;
+  return s;
+}
+
+}  // namespace
+
+Controller::Controller(Runtime& runtime, HttpClient& http, PlanRunner& planner,
+                       const Platform& platform, const OperatorSettings& settings,
+                       const std::string& boot)
+    : runtime_(runtime),
+      http_(http),
+      planner_(planner),
+      platform_(platform),
+      settings_(settings),
+      store_(runtime, http, platform.stateAddress,
+             platform.stateRequestsPerS / static_cast<double>(platform.nodes())),
+      cloud_(runtime, http, platform.cloudAddress, platform.cloudRequestsPerS * 0.8),
+      feed_(runtime, store_, replica_, feedSettings(platform)),
+      mesh_(runtime, http, platform),
+      jobs_(runtime, store_, feed_, replica_, platform),
+      election_({platform.member, boot, kLeaseLife, kLeaseRenew}) {}
+
+void Controller::start() {
+  started_ = runtime_.now();
+  lastWorker_ = started_ - Duration{3600000};
+  feed_.setInterval(kFollowerRead);
+  feed_.onChanged = [this] { onRecordsChanged(); };
+  feed_.onReload = [this] {
+    if (election_.leads()) leaveOffice("records must be read again", true, Duration{1000});
+  };
+  jobs_.onCommitted = [this] {
+    if (leader_) {
+      leader_->onRecordsChanged();
+    } else if (replica_.leader()) {
+      mesh_.nudge(replica_.leader()->member);
+    }
+  };
+  feed_.start();
+  mesh_.start([this] { return sighting(); }, kMeshEvery);
+  tick();
+}
+
+void Controller::onRecordsChanged() {
+  if (leader_) leader_->onRecordsChanged();
+  runElection();
+}
+
+void Controller::tick() {
+  runtime_.after(kTick, [this] { tick(); });
+  runElection();
+  watchOffice();
+}
+
+void Controller::runElection() {
+  Instant now = runtime_.now();
+  if (!feed_.loaded()) return;
+  Election::View view{feed_.contactAge() < Duration{1000}, replica_.leader(),
+                      replica_.leaderToken()};
+  // Candidates that hear workers go first; the others follow a little later.
+  if (!election_.leads() && view.fresh && !view.leader) {
+    if (!leaderMissingSince_) leaderMissingSince_ = now;
+    bool hears = now - lastWorker_ < 3 * platform_.reportEvery + Duration{5000};
+    if (!hears && now - *leaderMissingSince_ < Duration{400}) return;
+  } else {
+    leaderMissingSince_.reset();
+  }
+  bool led = election_.leads();
+  auto step = election_.tick(now, view);
+  if (led && !election_.leads()) {
+    leaveOffice("another leads or the lease ended", false, Duration{0});
+    return;
+  }
+  switch (step) {
+    case Election::Step::none:
+    case Election::Step::claim:
+      break;
+    case Election::Step::grant:
+      store_.grantLease(kLeaseLife, kStoreTimeout, [this](std::optional<LeaseId> lease) {
+        election_.onGranted(lease);
+        if (election_.role() != Election::Role::claiming) return;
+        Transaction t;
+        t.conditions.push_back({keys::kLeader, Revision{election_.claimStamp().value}});
+        t.writes.push_back({keys::kLeader, toJson(election_.record()), lease});
+        store_.commit(t, kStoreTimeout, [this, t](CommitResult r) {
+          election_.onClaimed(runtime_.now(), r);
+          if (r.outcome == Outcome::applied) {
+            replica_.apply({t.writes[0].key, t.writes[0].value, r.epoch});
+            takeOffice();
+          }
+        });
+      });
+      break;
+    case Election::Step::renew:
+      store_.renewLease(*election_.lease(), kStoreTimeout, [this](LeaseOutcome o) {
+        bool leads = election_.leads();
+        election_.onRenewed(o);
+        if (leads && !election_.leads()) {
+          leaveOffice("the lease has ended", false, Duration{0});
+        }
+      });
+      break;
+  }
+  if (election_.leads() && !leader_) takeOffice();
+}
+
+// Acts only once everything up to the election has been read.
+void Controller::takeOffice() {
+  if (takingOffice_ || leader_ || !election_.leads()) return;
+  takingOffice_ = true;
+  feed_.fresh([this](bool ok) {
+    takingOffice_ = false;
+    if (!ok || leader_ || !election_.leads()) return;
+    if (!election_.isMine(replica_.leader()) || replica_.leaderToken() != election_.token()) return;
+    feed_.setInterval(kLeaderRead);
+    leader_ = std::make_unique<Leader>(
+        Leader::Services{runtime_, store_, feed_, replica_, cloud_, http_, planner_, platform_,
+                         settings_},
+        election_.token());
+  });
+}
+
+void Controller::leaveOffice(const std::string& why, bool dropLease, Duration holdBack) {
+  spdlog::info("no longer leading (token {}): {}", election_.token().value, why);
+  auto lease = election_.lease();
+  if (dropLease && lease) store_.dropLease(*lease);
+  election_.stepDown(runtime_.now() + holdBack);
+  feed_.setInterval(kFollowerRead);
+  // Not from within one of its own calls.
+  if (leader_) {
+    std::shared_ptr<Leader> old(std::move(leader_));
+    runtime_.after(Duration{0}, [old] {});
+  }
+}
+
+// How long reports may be answered with no contact to the state service: a cancellation that
+// this node can't know of must still take its tasks off within `cancel_s`.
+Duration Controller::trustBound() const {
+  auto bound = (platform_.cancelWithin - platform_.workerLease) * 999 / 1000 - Duration{3000};
+  return std::max(bound, Duration{0});
+}
+
+void Controller::watchOffice() {
+  if (!election_.leads()) return;
+  Instant now = runtime_.now();
+  for (const auto& [member, seen] : mesh_.sightings()) {
+    if (seen.first.token > election_.token()) {
+      return leaveOffice("member " + member.value + " knows a higher token", false, Duration{500});
+    }
+  }
+  Duration silent = feed_.contactAge();
+  if (feed_.loaded() && silent > trustBound()) {
+    return leaveOffice("no contact with the state service for too long", false, Duration{1000});
+  }
+  if (feed_.loaded() && silent > kStoreSilent && mesh_.peerWithStore(Duration{1500})) {
+    return leaveOffice("the state service answers others but not this node", false,
+                       Duration{3000});
+  }
+  if (!leader_) return;
+  // Hears no worker although there are some: cut off from them, or all are gone.
+  bool expects = std::any_of(leader_->fleet().machines().begin(), leader_->fleet().machines().end(),
+                             [](const auto& m) { return m.second.heard(); }) ||
+                 std::any_of(replica_.machines().begin(), replica_.machines().end(),
+                             [](const auto& m) { return !m.second.tasks.empty(); });
+  Duration unheard = now - std::max(lastWorker_, leader_->fleet().lastHeardAny());
+  Duration patience = platform_.reportEvery * 5 / 4 + Duration{1500};
+  if (!expects || unheard < patience) return;
+  bool peersHear = false, anyPeer = platform_.peers.empty();
+  for (const auto& peer : platform_.peers) {
+    const auto* s = mesh_.heard(peer.member, kMeshHeard);
+    anyPeer = anyPeer || s;
+    peersHear = peersHear || (s && s->workersAge < unheard);
+  }
+  if (peersHear || !anyPeer) {
+    leaveOffice("no worker reports here", true, 5 * platform_.reportEvery + Duration{10000});
+  }
+}
+
+Sighting Controller::sighting() const {
+  Sighting s;
+  s.member = platform_.member;
+  s.token = std::max(election_.leads() ? election_.token() : Token{}, replica_.leaderToken());
+  s.leading = leader_ != nullptr;
+  s.storeAge = std::min(Duration{3600000}, std::max(Duration{0}, feed_.contactAge()));
+  s.workersAge = std::min(Duration{3600000}, std::max(Duration{0}, runtime_.now() - lastWorker_));
+  s.ready = feed_.loaded() && jobs_.catalogue() != nullptr;
+  return s;
+}
+
+Response Controller::notHere() const {
+  Json body = Json::object();
+  const auto& leader = replica_.leader();
+  if (leader && leader->member != platform_.member && mesh_.heard(leader->member, kMeshHeard)) {
+    body["steward"] = leader->member.value;
+  }
+  return jsonResponse(421, body);
+}
+
+Response Controller::onBeat(const Request& request) {
+  auto body = decodeBody(request.body);
+  auto report = body ? reportFrom(*body) : std::nullopt;
+  if (!report) return jsonResponse(400, {{"error", "not a report"}});
+  lastWorker_ = runtime_.now();
+  if (!leader_ || !election_.leads()) return notHere();
+  if (report->token > election_.token()) {
+    leaveOffice("machine " + report->machine.value + " has seen a higher token", false,
+                Duration{500});
+    return notHere();
+  }
+  return leader_->onReport(*report, feed_.contactAge() < kStoreSilent);
+}
+
+Response Controller::ready() {
+  bool serves = feed_.loaded() && jobs_.catalogue();
+  // A common outage must not take all nodes out of the balancer; a node that alone lost the
+  // state service passes requests on to its peers; one that hears nobody steps out.
+  if (serves && !feed_.reachable() && feed_.contactAge() > kStoreSilent) {
+    serves = std::any_of(platform_.peers.begin(), platform_.peers.end(),
+                         [&](const Peer& p) { return mesh_.heard(p.member, kMeshHeard); });
+  }
+  return jsonResponse(serves ? 200 : 503, Json::object());
+}
+
+void Controller::onApi(const Request& request, const Respond& respond) {
+  std::string path = request.path.substr(0, request.path.find('?'));
+  if (path == "/agent/beat") {
+    if (request.method != "POST") return respond(jsonResponse(405, {{"error", "wrong method"}}));
+    return respond(onBeat(request));
+  }
+  if (path == "/ready") {
+    if (request.method != "GET") return respond(jsonResponse(405, {{"error", "wrong method"}}));
+    return respond(ready());
+  }
+  if (path.starts_with("/v2/runs") && !feed_.reachable()) {
+    if (auto peer = mesh_.peerWithStore(Duration{1500})) {
+      mesh_.forward(*peer, request, kForwardTimeout, [respond](std::optional<Response> r) {
+        respond(r ? Response{r->status, r->body, r->status >= 429 ? 1 : 0} : retryLater(503));
+      });
+      return;
+    }
+  }
+  if (!jobs_.handle(request, respond)) respond(jsonResponse(404, {{"error", "no such path"}}));
+}
+
+void Controller::onMesh(const Request& request, const Respond& respond) {
+  std::string path = request.path.substr(0, request.path.find('?'));
+  if (path == "/mesh/hello" && request.method == "POST") return respond(mesh_.onHello(request));
+  if (path == "/mesh/nudge" && request.method == "POST") {
+    feed_.fresh([](bool) {});
+    return respond(jsonResponse(200, Json::object()));
+  }
+  const std::string user = "/mesh/user";
+  if (path.starts_with(user + "/")) {
+    // Answered from this node's own reads; never passed on again.
+    Request inner{request.method, request.path.substr(user.size()), request.body};
+    if (jobs_.handle(inner, respond)) return;
+  }
+  respond(jsonResponse(404, {{"error", "no such path"}}));
+}
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/app/controller.hpp
@@ -0,0 +1,62 @@
+// One controller: the election, the users' interface, the workers' reports, the mesh.
+#pragma once
+
+#include <memory>
+
+#include "app/leader.hpp"
+#include "jobs/service.hpp"
+#include "leadership/election.hpp"
+#include "leadership/mesh.hpp"
+
+namespace kestrelhoist {
+
+class Controller {
+ public:
+  // `boot` must differ between the lives of a process.
+  Controller(Runtime& runtime, HttpClient& http, PlanRunner& planner, const Platform& platform,
+             const OperatorSettings& settings, const std::string& boot);
+  Controller(const Controller&) = delete;
+  Controller& operator=(const Controller&) = delete;
+
+  void start();
+  // Users, workers and health checks.
+  void onApi(const Request& request, const Respond& respond);
+  // The other controllers.
+  void onMesh(const Request& request, const Respond& respond);
+
+  bool leads() const { return leader_ != nullptr; }
+  const Replica& replica() const { return replica_; }
+
+ private:
+  void tick();
+  void runElection();
+  void takeOffice();
+  void leaveOffice(const std::string& why, bool dropLease, Duration holdBack);
+  void watchOffice();
+  void onRecordsChanged();
+  Response onBeat(const Request& request);
+  Response ready();
+  Response notHere() const;
+  Sighting sighting() const;
+  Duration trustBound() const;
+
+  Runtime& runtime_;
+  HttpClient& http_;
+  PlanRunner& planner_;
+  const Platform& platform_;
+  const OperatorSettings& settings_;
+  StoreClient store_;
+  CloudClient cloud_;
+  Replica replica_;
+  Feed feed_;
+  Mesh mesh_;
+  JobService jobs_;
+  Election election_;
+  std::unique_ptr<Leader> leader_;
+  bool takingOffice_ = false;
+  Instant lastWorker_{};
+  Instant started_{};
+  std::optional<Instant> leaderMissingSince_;
+};
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/app/leader_machines.cpp
@@ -0,0 +1,298 @@
+// The leader's dealings with the cloud: types, list, releases, rentals by the forecast.
+#include <algorithm>
+#include <cmath>
+
+#include "app/leader.hpp"
+#include "base/log.hpp"
+
+namespace kestrelhoist {
+namespace {
+constexpr Duration kRetry{1000};
+constexpr Duration kRefusedPause{15000};
+constexpr double kLateBoot = 1.7;  // times the boot time: no longer counted on
+}  // namespace
+
+void Leader::readTypes() {
+  if (typesAsked_ || !s_.cloud.mayAsk()) return;
+  typesAsked_ = true;
+  s_.cloud.types(guard([this](std::optional<Catalogue> c) {
+    if (!c) {
+      spdlog::info("the cloud did not tell its machine types");
+      s_.runtime.after(kRetry, guard([this] { typesAsked_ = false; }));
+      return;
+    }
+    catalogue_ = std::move(c);
+    kick();
+  }));
+}
+
+void Leader::readList() {
+  if (!s_.cloud.mayAsk()) return;
+  listing_ = true;
+  nextList_ = s_.runtime.now() + std::max(s_.platform.listLag, Duration{2000});
+  s_.cloud.list(guard([this](std::optional<std::vector<ListedMachine>> list) {
+    listing_ = false;
+    if (!list) {
+      spdlog::info("the cloud gave no machine list");
+      return;
+    }
+    Instant now = s_.runtime.now();
+    std::vector<std::pair<MachineId, Machine>> machines;
+    for (const auto& l : *list) {
+      Machine m;
+      m.id = l.id;
+      m.type = l.type;
+      m.zone = l.zone;
+      m.spot = l.spot;
+      m.listed = l.state == ListedMachine::State::failed    ? Listed::failed
+                 : l.state == ListedMachine::State::booting ? Listed::booting
+                                                            : Listed::running;
+      m.rentedAt = now - l.age - s_.platform.listLag;
+      machines.emplace_back(l.id, std::move(m));
+    }
+    if (firstList_ == Instant{}) firstList_ = now;
+    fleet_.onList(machines, now, s_.platform.listLag);
+  }));
+}
+
+// Asks for the release of machines whose mark is on record. The answer 200 is the one fence for
+// silent machines: they and all that was on them are gone.
+void Leader::startReleases() {
+  if (!releasing_.empty()) return;
+  std::vector<MachineId> batch;
+  for (const auto& [id, record] : s_.replica.machines()) {
+    if (record.leaving && !releaseConfirmed_.contains(id) && batch.size() < 100) {
+      batch.push_back(id);
+    }
+  }
+  if (batch.empty() || !s_.cloud.mayAsk()) return;
+  releasing_.insert(batch.begin(), batch.end());
+  s_.cloud.release(batch, guard([this, batch](bool ok) {
+    if (!ok) {
+      spdlog::info("release of {} machines got no 200, asking again", batch.size());
+      s_.runtime.after(kRetry, guard([this] { releasing_.clear(); }));
+      return;
+    }
+    releasing_.clear();
+    for (const auto& id : batch) {
+      spdlog::info("machine {} released", id.value);
+      releaseConfirmed_.insert(id);
+    }
+    kick();
+  }));
+}
+
+void Leader::startHires() {
+  for (const auto& [id, hire] : s_.replica.hires()) {
+    if (hireResults_.contains(id) || hireAsked_.contains(id)) continue;
+    if (!s_.cloud.mayAsk()) return;
+    hireAsked_.insert(id);
+    s_.cloud.hire(hire, guard([this, hire](HireResult r) { onHired(hire, r); }));
+  }
+}
+
+void Leader::onHired(const HireRecord& hire, const HireResult& result) {
+  Instant now = s_.runtime.now();
+  Offer offer{hire.type, hire.zone, hire.spot};
+  if (result.kind == HireResult::Kind::failed) {
+    // Trouble or no answer: the same name again, which rents nothing twice.
+    s_.runtime.after(kRetry, guard([this, id = hire.id] {
+                       hireAsked_.erase(id);
+                       startHires();
+                     }));
+    return;
+  }
+  if (result.machines.size() < hire.count) refused_[offer] = now + kRefusedPause;
+  spdlog::info("rental {}: {} of {} {} {} in {}", hire.id.value, result.machines.size(),
+               hire.count, hire.spot ? "spot" : "ordinary", hire.type.value, hire.zone.value);
+  hireResults_[hire.id] = result;
+  nextRentCheck_ = now;
+  kick();
+}
+
+std::map<TypeId, TypeDemand> Leader::demandNow() const {
+  std::map<TypeId, TypeDemand> demand;
+  for (const auto& type : catalogue_->types) demand[type.id];
+  for (const auto& [id, record] : s_.replica.machines()) {
+    const MachineType* type = catalogue_->find(record.type);
+    if (!type) continue;
+    auto& d = demand[type->id];
+    for (const auto& t : record.tasks) {
+      const auto* job = s_.replica.job(t.task.job);
+      if (!job || !job->record.spec) continue;
+      double share = job->record.spec->perTask.shareOf(type->room);
+      if (!job->record.spec->spotAllowed) {
+        d.firmBooked += share;
+      } else if (record.spot) {
+        d.flexibleOnSpot += share;
+      } else {
+        d.flexibleOnOrdinary += share;
+      }
+    }
+  }
+  for (const auto& [id, count] : unplaced_) {
+    const auto* job = s_.replica.job(id);
+    if (!job || !job->active() || !job->record.spec) continue;
+    const JobSpec& spec = *job->record.spec;
+    // The cheapest allowed type that holds a task.
+    const MachineType* best = nullptr;
+    for (const auto& type : catalogue_->types) {
+      if (!spec.allowsType(type.id) || !spec.perTask.fitsIn(type.room)) continue;
+      if (!best || type.price * spec.perTask.shareOf(type.room) <
+                       best->price * spec.perTask.shareOf(best->room)) {
+        best = &type;
+      }
+    }
+    if (!best) continue;
+    auto& d = demand[best->id];
+    // A task that is a bit more than a half of a machine takes a whole one.
+    double perMachine = std::floor(1.0 / std::max(1e-6, spec.perTask.shareOf(best->room)) + 1e-6);
+    double share = count / std::max(1.0, perMachine);
+    (spec.spotAllowed ? d.flexibleWaiting : d.firmWaiting) += share;
+    if (spec.zone) d.pinnedWaiting[*spec.zone] += share;
+  }
+  return demand;
+}
+
+void Leader::decideRenting(bool turn) {
+  Instant now = s_.runtime.now();
+  nextRentCheck_ = now + Duration{1000};
+  std::erase_if(refused_, [&](const auto& r) { return r.second <= now; });
+  auto demand = demandNow();
+  for (const auto& type : catalogue_->types) {
+    RentInput in;
+    in.type = &type;
+    in.demand = demand[type.id];
+    if (auto f = forecasts_.find(type.id); f != forecasts_.end()) {
+      in.demand.firm = f->second.firm.predict(random_);
+      in.demand.flexible = f->second.flexible.predict(random_);
+    }
+    in.spreadMultiple = s_.settings.spreadMultiple;
+    in.useSpot = s_.settings.useSpot;
+    in.giveBack = turn;
+    for (const auto& [offer, until] : refused_) in.refused.insert(offer);
+    for (const auto& [id, hire] : s_.replica.hires()) {
+      auto result = hireResults_.find(id);
+      auto n = result == hireResults_.end() ? hire.count
+                                            : static_cast<std::uint32_t>(result->second.machines.size());
+      in.ordered[{hire.type, hire.zone, hire.spot}] += n;
+    }
+    for (const auto& h : hireWanted_) in.ordered[{h.type, h.zone, h.spot}] += h.count;
+    for (auto& [id, m] : fleet_.machines()) {
+      const auto* record = s_.replica.machine(id);
+      if (m.type != type.id || m.releaseWanted || (record && record->leaving) || m.noticeEnds ||
+          fleet_.faulty(m)) {
+        continue;
+      }
+      RentMachine r;
+      r.id = id;
+      r.offer = {m.type, m.zone, m.spot};
+      r.up = m.heard();
+      r.age = now - m.rentedAt;
+      r.late = !r.up && toSeconds(r.age) > kLateBoot * toSeconds(type.boot);
+      r.idle = !record || record->tasks.empty();
+      in.machines.push_back(std::move(r));
+    }
+    RentDecision out = decideRent(in);
+    if (turn) {
+      spdlog::info(
+          "window of {}: firm {:.2f}+{:.2f} waiting, expected {:.2f}+-{:.2f}; flexible "
+          "{:.2f}+{:.2f} waiting, expected {:.2f}+-{:.2f}; target {} ordinary {} spot, have {}",
+          type.id.value, in.demand.firmBooked, in.demand.firmWaiting, in.demand.firm.mean,
+          in.demand.firm.spread, in.demand.flexibleOnSpot + in.demand.flexibleOnOrdinary,
+          in.demand.flexibleWaiting, in.demand.flexible.mean, in.demand.flexible.spread,
+          out.ordinaryTarget, out.spotTarget, in.machines.size());
+    }
+    auto most = static_cast<std::uint32_t>(
+        std::min<std::size_t>(50, s_.platform.transactionOps - 1));
+    std::size_t have = in.machines.size();
+    for (const auto& [offer, n] : in.ordered) have += n;
+    for (const auto& rental : out.rentals) {
+      std::uint32_t left = rental.count;
+      if (s_.settings.maxMachines > 0) {
+        left = std::min<std::uint32_t>(
+            left, have < s_.settings.maxMachines
+                      ? static_cast<std::uint32_t>(s_.settings.maxMachines - have)
+                      : 0);
+      }
+      have += left;
+      while (left > 0) {
+        std::uint32_t n = std::min(left, most);
+        // Unique for ever: tokens are, and the counter within one.
+        HireId id{"r-" + std::to_string(token_.value) + "-" + std::to_string(++hireCount_)};
+        hireWanted_.push_back({id, rental.offer.type, rental.offer.zone, rental.offer.spot, n});
+        left -= n;
+      }
+    }
+    for (const auto& id : out.giveBack) {
+      if (auto* m = fleet_.find(id)) fleet_.wantRelease(*m, "idle above the target");
+    }
+  }
+  if (!hireWanted_.empty()) kick();
+}
+
+void Leader::turnWindow() {
+  Instant now = s_.runtime.now();
+  auto demand = demandNow();
+  for (const auto& type : catalogue_->types) {
+    const TypeDemand& d = demand[type.id];
+    auto horizon = static_cast<std::size_t>(
+        std::max(1.0, std::ceil(toSeconds(type.boot) / toSeconds(s_.settings.window))));
+    auto [it, isNew] = forecasts_.try_emplace(type.id, Series{Forecast(horizon), Forecast(horizon)});
+    // DESIGN names it: refused rents leave tasks waiting and push the forecast toward room that
+    // can't come. While every zone refuses, waiting work is not taken for demand.
+    auto allRefused = [&](bool spot) {
+      return std::all_of(type.zones.begin(), type.zones.end(), [&](const ZoneId& z) {
+        auto r = refused_.find({type.id, z, spot});
+        return r != refused_.end() && r->second > now;
+      });
+    };
+    bool noOrdinary = allRefused(false);
+    bool noSpot = !s_.settings.useSpot || allRefused(true);
+    it->second.firm.observe(d.firmBooked + (noOrdinary ? 0 : d.firmWaiting));
+    it->second.flexible.observe(d.flexibleOnSpot + d.flexibleOnOrdinary +
+                                (noOrdinary && noSpot ? 0 : d.flexibleWaiting));
+  }
+  while (windowEnds_ <= now) windowEnds_ = windowEnds_ + s_.settings.window;
+  forecastDirty_ = true;
+  decideRenting(true);
+}
+
+Json Leader::forecastsToJson() const {
+  Json types = Json::object();
+  for (const auto& [type, series] : forecasts_) {
+    types[type.value] = {{"firm", series.firm.toJson()}, {"flexible", series.flexible.toJson()}};
+  }
+  return {{"at", s_.runtime.wallMillis()}, {"types", std::move(types)}};
+}
+
+// The windows that an earlier leader left, with the gap since then closed at present demand.
+void Leader::loadForecasts() {
+  const auto& stored = s_.replica.forecast();
+  if (forecastsLoaded_ || !stored || !catalogue_) return;
+  forecastsLoaded_ = true;
+  auto at = countField(*stored, "at");
+  const Json* types = field(*stored, "types");
+  if (!at || !types || !types->is_object()) return;
+  auto age = Duration{std::max<std::int64_t>(
+      0, s_.runtime.wallMillis() - static_cast<std::int64_t>(*at))};
+  auto missed = static_cast<std::size_t>(age / s_.settings.window);
+  auto demand = demandNow();
+  for (const auto& type : catalogue_->types) {
+    const Json* entry = field(*types, type.id.value.c_str());
+    const Json* firm = entry ? field(*entry, "firm") : nullptr;
+    const Json* flexible = entry ? field(*entry, "flexible") : nullptr;
+    Series series;
+    if (!firm || !flexible || !series.firm.fromJson(*firm) ||
+        !series.flexible.fromJson(*flexible)) {
+      continue;
+    }
+    const TypeDemand& d = demand[type.id];
+    series.firm.skip(missed, d.firmBooked + d.firmWaiting);
+    series.flexible.skip(missed, d.flexibleOnSpot + d.flexibleOnOrdinary + d.flexibleWaiting);
+    forecasts_.insert_or_assign(type.id, std::move(series));
+  }
+  spdlog::info("forecast taken over, {} windows behind", missed);
+}
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,66 @@
+// kestrelhoist: a controller of a cluster scheduler.
+#include <malloc.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdio>
+#include <random>
+
+#include "app/controller.hpp"
+#include "base/event_loop.hpp"
+#include "base/log.hpp"
+
+namespace kh = kestrelhoist;
+
+int main(int argc, char** argv) {
+  CLI::App app{"kestrelhoist, a cluster scheduler: runs one controller until it is killed"};
+  std::string config, operatorFile;
+  bool check = false;
+  app.add_option("--config", config, "the platform's settings (TOML)")->required();
+  app.add_option("--operator", operatorFile, "the operator's own settings (JSON), optional");
+  app.add_flag("--check", check, "check the settings and exit");
+  app.set_version_flag("--version", "kestrelhoist " KESTRELHOIST_VERSION);
+  app.footer("LOG_LEVEL (error, info, debug) sets how much is logged to standard error.");
+  CLI11_PARSE(app, argc, argv);
+
+  kh::Platform platform;
+  kh::OperatorSettings settings;
+  try {
+    platform = kh::loadPlatform(config);
+    if (!operatorFile.empty()) settings = kh::loadOperatorSettings(operatorFile);
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "kestrelhoist: %s\n", e.what());
+    return 2;
+  }
+  if (check) {
+    std::printf("settings are valid\n");
+    return 0;
+  }
+  if (!kh::setupLogging(platform.member.value)) {
+    spdlog::info("LOG_LEVEL is not one of error, info, debug: using info");
+  }
+  // One arena for both threads, and freed memory goes back: the smallest machine has 40 MB.
+  mallopt(M_ARENA_MAX, 1);
+  mallopt(M_TRIM_THRESHOLD, 256 * 1024);
+
+  try {
+    kh::EventLoop loop;
+    kh::EvHttpClient http(loop, platform.maxConnections / 3);
+    kh::ThreadPlanRunner planner([&loop](std::function<void()> f) { loop.post(std::move(f)); });
+    std::random_device random;
+    std::string boot = std::to_string(loop.wallMillis()) + "-" + std::to_string(random());
+    kh::Controller controller(loop, http, planner, platform, settings, boot);
+    kh::HttpServer api(loop, platform.apiAddress,
+                       [&](const kh::Request& q, kh::Respond r) { controller.onApi(q, r); });
+    kh::HttpServer mesh(loop, platform.meshAddress,
+                        [&](const kh::Request& q, kh::Respond r) { controller.onMesh(q, r); });
+    spdlog::info("kestrelhoist {} member {} in zone {}: users and workers at {}, peers at {}",
+                 KESTRELHOIST_VERSION, platform.member.value, platform.zone.value,
+                 platform.apiAddress, platform.meshAddress);
+    controller.start();
+    loop.run();
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "kestrelhoist: %s\n", e.what());
+    return 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/base/types.hpp
@@ -0,0 +1,117 @@
+// Small types of their own for ids, versions and times.
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace kestrelhoist {
+
+template <class Tag>
+struct Name {
+  std::string value;
+  Name() = default;
+  explicit Name(std::string v) : value(std::move(v)) {}
+  auto operator<=>(const Name&) const = default;
+  bool empty() const { return value.empty(); }
+  const std::string& str() const { return value; }
+};
+
+template <class Tag, class Rep = std::uint64_t>
+struct Number {
+  Rep value{};
+  Number() = default;
+  constexpr explicit Number(Rep v) : value(v) {}
+  auto operator<=>(const Number&) const = default;
+};
+
+using JobId = Name<struct JobIdTag>;
+using MachineId = Name<struct MachineIdTag>;
+using MemberId = Name<struct MemberIdTag>;
+using ZoneId = Name<struct ZoneIdTag>;
+using TypeId = Name<struct TypeIdTag>;
+using TeamId = Name<struct TeamIdTag>;
+using ImageId = Name<struct ImageIdTag>;
+using HireId = Name<struct HireIdTag>;
+
+using Revision = Number<struct RevisionTag>;  // the state service's counter; a key's version
+using Token = Number<struct TokenTag>;        // stamp of the leader key: who may command workers
+using LeaseId = Number<struct LeaseIdTag>;
+using Attempt = Number<struct AttemptTag>;
+using Tenure = Number<struct TenureTag>;  // a worker's session
+using Tick = Number<struct TickTag>;      // counts a worker's messages within a session
+
+using Duration = std::chrono::milliseconds;
+
+// A point on this process's steady clock.
+struct Instant {
+  std::int64_t ms{};
+  auto operator<=>(const Instant&) const = default;
+  friend Instant operator+(Instant a, Duration d) { return {a.ms + d.count()}; }
+  friend Instant operator-(Instant a, Duration d) { return {a.ms - d.count()}; }
+  friend Duration operator-(Instant a, Instant b) { return Duration{a.ms - b.ms}; }
+};
+
+inline double toSeconds(Duration d) { return static_cast<double>(d.count()) / 1000.0; }
+inline Duration fromSeconds(double s) {
+  return Duration{static_cast<std::int64_t>(s * 1000.0 + 0.5)};
+}
+
+struct TaskId {
+  JobId job;
+  std::uint32_t index{};
+  auto operator<=>(const TaskId&) const = default;
+  std::string str() const { return job.value + "/" + std::to_string(index); }
+};
+
+// One placement of a task on a machine.
+struct AttemptId {
+  TaskId task;
+  Attempt attempt;
+  auto operator<=>(const AttemptId&) const = default;
+  std::string str() const { return task.str() + "#" + std::to_string(attempt.value); }
+};
+
+// What a task takes or a machine has.
+struct Room {
+  double cpus{}, gpus{}, ramGb{};
+  Room& operator+=(const Room& o) {
+    cpus += o.cpus;
+    gpus += o.gpus;
+    ramGb += o.ramGb;
+    return *this;
+  }
+  Room& operator-=(const Room& o) {
+    cpus -= o.cpus;
+    gpus -= o.gpus;
+    ramGb -= o.ramGb;
+    return *this;
+  }
+  friend Room operator+(Room a, const Room& b) { return a += b; }
+  friend Room operator-(Room a, const Room& b) { return a -= b; }
+  friend Room operator*(Room a, double k) { return {a.cpus * k, a.gpus * k, a.ramGb * k}; }
+  bool fitsIn(const Room& o) const {
+    constexpr double kSlack = 1e-6;
+    return cpus <= o.cpus + kSlack && gpus <= o.gpus + kSlack && ramGb <= o.ramGb + kSlack;
+  }
+  // The largest share this takes of any dimension of `whole`.
+  double shareOf(const Room& whole) const {
+    double s = 0;
+    if (whole.cpus > 0) s = std::max(s, cpus / whole.cpus);
+    if (whole.gpus > 0) s = std::max(s, gpus / whole.gpus);
+    if (whole.ramGb > 0) s = std::max(s, ramGb / whole.ramGb);
+    return s;
+  }
+};
+
+}  // namespace kestrelhoist
+
+template <class Tag>
+struct std::hash<kestrelhoist::Name<Tag>> {
+  std::size_t operator()(const kestrelhoist::Name<Tag>& n) const {
+    return std::hash<std::string>{}(n.value);
+  }
+};
--- /dev/null
+++ b/src/cloud/client.cpp
@@ -0,0 +1,110 @@
+#include "cloud/client.hpp"
+
+#include "base/log.hpp"
+
+namespace kestrelhoist {
+namespace {
+constexpr Duration kTimeout{4000};
+constexpr int kPage = 200;
+
+std::optional<ListedMachine> listedFrom(const Json& v) {
+  auto id = textField(v, "ref");
+  auto type = textField(v, "rig");
+  auto zone = textField(v, "site");
+  auto phase = textField(v, "phase");
+  if (!id || id->empty() || !type || !zone || !phase) return std::nullopt;
+  ListedMachine m;
+  m.id = MachineId{*id};
+  m.address = textField(v, "addr").value_or("");
+  m.type = TypeId{*type};
+  m.zone = ZoneId{*zone};
+  m.spot = boolField(v, "loaners").value_or(false);
+  m.state = *phase == "failed"    ? ListedMachine::State::failed
+            : *phase == "booting" ? ListedMachine::State::booting
+                                  : ListedMachine::State::running;
+  m.age = fromSeconds(std::max(0.0, numberField(v, "age_s").value_or(0)));
+  return m;
+}
+}  // namespace
+
+CloudClient::CloudClient(Runtime& runtime, HttpClient& http, std::string address,
+                         double requestsPerS)
+    : runtime_(runtime),
+      http_(http),
+      address_(std::move(address)),
+      budget_(requestsPerS, std::max(1.0, requestsPerS)) {}
+
+void CloudClient::types(std::function<void(std::optional<Catalogue>)> done) {
+  http_.send(address_, {"GET", "/machine_types", ""}, kTimeout,
+             [done = std::move(done)](const std::optional<Response>& r) {
+               auto body = r && r->status == 200 ? decodeBody(r->body) : std::nullopt;
+               done(body ? catalogueFrom(*body) : std::nullopt);
+             });
+}
+
+void CloudClient::hire(const HireRecord& h, std::function<void(HireResult)> done) {
+  Json body = {{"hire", h.id.value},
+               {"rig", h.type.value},
+               {"site", h.zone.value},
+               {"loaners", h.spot},
+               {"count", h.count}};
+  http_.send(address_, {"POST", "/hosts", encodeBody(body)}, kTimeout,
+             [done = std::move(done)](const std::optional<Response>& r) {
+               HireResult result;
+               auto body = r ? decodeBody(r->body) : std::nullopt;
+               if (r && r->status == 200 && body) {
+                 const Json* hosts = field(*body, "hosts");
+                 if (hosts && hosts->is_array()) {
+                   result.kind = HireResult::Kind::hired;
+                   for (const auto& h : *hosts) {
+                     if (h.is_string()) result.machines.emplace_back(h.get<std::string>());
+                   }
+                 }
+               } else if (r && r->status == 503 && body &&
+                          textField(*body, "error") == "no capacity") {
+                 result.kind = HireResult::Kind::noCapacity;
+               } else if (r && r->status == 400) {
+                 result.kind = HireResult::Kind::rejected;
+               }
+               done(std::move(result));
+             });
+}
+
+void CloudClient::release(const std::vector<MachineId>& machines, std::function<void(bool)> done) {
+  Json names = Json::array();
+  for (const auto& m : machines) names.push_back(m.value);
+  http_.send(address_, {"POST", "/hosts/release", encodeBody({{"hosts", std::move(names)}})},
+             kTimeout, [done = std::move(done)](const std::optional<Response>& r) {
+               done(r && r->status == 200);
+             });
+}
+
+void CloudClient::list(std::function<void(std::optional<std::vector<ListedMachine>>)> done) {
+  listPage("", {}, std::move(done));
+}
+
+void CloudClient::listPage(const std::string& since, std::vector<ListedMachine> sofar,
+                           std::function<void(std::optional<std::vector<ListedMachine>>)> done) {
+  std::string path = "/hosts?page=" + std::to_string(kPage);
+  if (!since.empty()) path += "&since=" + since;
+  http_.send(address_, {"GET", path, ""}, kTimeout,
+             [this, sofar = std::move(sofar),
+              done = std::move(done)](const std::optional<Response>& r) mutable {
+               auto body = r && r->status == 200 ? decodeBody(r->body) : std::nullopt;
+               const Json* hosts = body ? field(*body, "hosts") : nullptr;
+               if (!hosts || !hosts->is_array()) return done(std::nullopt);
+               for (const auto& h : *hosts) {
+                 auto m = listedFrom(h);
+                 if (!m) return done(std::nullopt);
+                 sofar.push_back(std::move(*m));
+               }
+               if (boolField(*body, "truncated").value_or(false) && !sofar.empty()) {
+                 std::string last = sofar.back().id.value;
+                 budget_.take(runtime_.now(), 1);
+                 return listPage(last, std::move(sofar), std::move(done));
+               }
+               done(std::move(sofar));
+             });
+}
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/cloud/client.hpp
@@ -0,0 +1,47 @@
+// Typed client of the cloud.
+#pragma once
+
+#include <functional>
+
+#include "cloud/catalogue.hpp"
+#include "base/rate.hpp"
+#include "store/records.hpp"
+
+namespace kestrelhoist {
+
+struct ListedMachine {
+  MachineId id;
+  std::string address;
+  TypeId type;
+  ZoneId zone;
+  bool spot{};
+  enum class State { booting, running, failed } state{};
+  Duration age{};
+};
+
+struct HireResult {
+  enum class Kind { hired, noCapacity, rejected, failed } kind = Kind::failed;
+  std::vector<MachineId> machines;
+};
+
+class CloudClient {
+ public:
+  CloudClient(Runtime& runtime, HttpClient& http, std::string address, double requestsPerS);
+
+  bool mayAsk() { return budget_.take(runtime_.now(), 1); }
+  void types(std::function<void(std::optional<Catalogue>)> done);
+  void hire(const HireRecord& hire, std::function<void(HireResult)> done);
+  // True: the machines and all that was on them are gone.
+  void release(const std::vector<MachineId>& machines, std::function<void(bool)> done);
+  void list(std::function<void(std::optional<std::vector<ListedMachine>>)> done);
+
+ private:
+  void listPage(const std::string& since, std::vector<ListedMachine> sofar,
+                std::function<void(std::optional<std::vector<ListedMachine>>)> done);
+  Runtime& runtime_;
+  HttpClient& http_;
+  std::string address_;
+  RateBudget budget_;
+};
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/cloud/renting.cpp
@@ -0,0 +1,127 @@
+#include "cloud/renting.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace kestrelhoist {
+namespace {
+
+int ceilMachines(double share) { return static_cast<int>(std::ceil(std::max(0.0, share) - 1e-6)); }
+
+struct Pool {
+  int have{};    // counts toward the target: up, booting in time, ordered
+  int inUse{};   // with something on them
+  std::map<ZoneId, int> perZone;
+};
+
+Pool poolOf(const RentInput& in, bool spot) {
+  Pool p;
+  for (const auto& m : in.machines) {
+    if (m.offer.spot != spot) continue;
+    if (!m.idle) ++p.inUse;
+    if (m.late) continue;
+    ++p.have;
+    ++p.perZone[m.offer.zone];
+  }
+  for (const auto& [offer, count] : in.ordered) {
+    if (offer.spot != spot || offer.type != in.type->id) continue;
+    p.have += static_cast<int>(count);
+    p.perZone[offer.zone] += static_cast<int>(count);
+  }
+  return p;
+}
+
+// Spreads `count` rentals over the zones that are not refused, the emptiest first.
+void rent(const RentInput& in, bool spot, int count, Pool& pool, RentDecision& out) {
+  std::map<ZoneId, std::uint32_t> add;
+  for (int i = 0; i < count; ++i) {
+    const ZoneId* best = nullptr;
+    for (const auto& zone : in.type->zones) {
+      if (in.refused.contains({in.type->id, zone, spot})) continue;
+      if (!best || pool.perZone[zone] < pool.perZone[*best]) best = &zone;
+    }
+    if (!best) break;
+    ++pool.perZone[*best];
+    ++pool.have;
+    ++add[*best];
+  }
+  for (const auto& [zone, n] : add) out.rentals.push_back({{in.type->id, zone, spot}, n});
+}
+
+void giveBack(const RentInput& in, bool spot, int surplus, RentDecision& out) {
+  std::map<ZoneId, int> perZone;
+  std::vector<const RentMachine*> idle;
+  for (const auto& m : in.machines) {
+    if (m.offer.spot != spot) continue;
+    ++perZone[m.offer.zone];
+    if (m.idle && m.up && m.age >= in.minimumCharge) idle.push_back(&m);
+  }
+  while (surplus-- > 0 && !idle.empty()) {
+    // From the zone with the most machines, the newest first: its cache is the coldest.
+    auto best = std::max_element(idle.begin(), idle.end(), [&](const auto* a, const auto* b) {
+      int x = perZone[a->offer.zone], y = perZone[b->offer.zone];
+      return x != y ? x < y : a->age > b->age;
+    });
+    --perZone[(*best)->offer.zone];
+    out.giveBack.push_back((*best)->id);
+    idle.erase(best);
+  }
+}
+
+}  // namespace
+
+RentDecision decideRent(const RentInput& in) {
+  RentDecision out;
+  const TypeDemand& d = in.demand;
+  const double k = in.spreadMultiple;
+  Pool spot = poolOf(in, true);
+  Pool ordinary = poolOf(in, false);
+
+  double flexible = std::max(d.flexible.mean + k * d.flexible.spread,
+                             d.flexibleOnSpot + d.flexibleOnOrdinary + d.flexibleWaiting);
+  bool spotOffered = in.useSpot && std::any_of(in.type->zones.begin(), in.type->zones.end(),
+                                               [&](const ZoneId& z) {
+                                                 return !in.refused.contains({in.type->id, z, true});
+                                               });
+  out.spotTarget = std::max(ceilMachines(flexible - d.flexibleOnOrdinary),
+                            spot.inUse + ceilMachines(d.flexibleWaiting));
+  if (!in.useSpot) out.spotTarget = spot.inUse;
+
+  // Flexible demand that spot machines can't meet now goes to ordinary ones.
+  double overflow = spotOffered ? d.flexibleOnOrdinary
+                                : std::max(d.flexibleOnOrdinary, flexible - spot.have);
+  double waitingHere =
+      d.firmWaiting + (spotOffered ? 0.0
+                                   : std::max(0.0, d.flexibleWaiting - (spot.have - spot.inUse)));
+  double firm = std::max(d.firm.mean + k * d.firm.spread, d.firmBooked + d.firmWaiting);
+  out.ordinaryTarget =
+      std::max(ceilMachines(firm + overflow), ordinary.inUse + ceilMachines(waitingHere));
+
+  if (out.spotTarget > spot.have) rent(in, true, out.spotTarget - spot.have, spot, out);
+  if (out.ordinaryTarget > ordinary.have) {
+    rent(in, false, out.ordinaryTarget - ordinary.have, ordinary, out);
+  }
+  for (const auto& [zone, need] : d.pinnedWaiting) {
+    // Room elsewhere does not help this work: machines of its zone that are still to come do.
+    int coming = 0;
+    for (const auto& m : in.machines) coming += m.offer.zone == zone && !m.up && !m.late;
+    for (const auto& [offer, n] : in.ordered) {
+      if (offer.zone == zone && offer.type == in.type->id) coming += static_cast<int>(n);
+    }
+    for (const auto& r : out.rentals) coming += r.offer.zone == zone ? static_cast<int>(r.count) : 0;
+    int missing = ceilMachines(need) - coming;
+    Offer offer{in.type->id, zone, false};
+    if (missing > 0 && !in.refused.contains(offer)) {
+      out.rentals.push_back({offer, static_cast<std::uint32_t>(missing)});
+    }
+  }
+  if (in.giveBack) {
+    if (spot.have > out.spotTarget) giveBack(in, true, spot.have - out.spotTarget, out);
+    if (ordinary.have > out.ordinaryTarget) {
+      giveBack(in, false, ordinary.have - out.ordinaryTarget, out);
+    }
+  }
+  return out;
+}
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/cloud/renting.hpp
@@ -0,0 +1,64 @@
+// How many machines to rent and which idle ones to give back, after DESIGN: toward mean +
+// k * spread of the forecast, never below present demand, counting booting machines. Pure.
+#pragma once
+
+#include <map>
+#include <set>
+#include <vector>
+
+#include "cloud/catalogue.hpp"
+#include "forecast/forecast.hpp"
+
+namespace kestrelhoist {
+
+// A thing that can be refused: a type in a zone, spot or ordinary.
+struct Offer {
+  TypeId type;
+  ZoneId zone;
+  bool spot{};
+  auto operator<=>(const Offer&) const = default;
+};
+
+struct RentMachine {
+  MachineId id;
+  Offer offer;
+  bool up{};      // has reported
+  bool late{};    // booting for so long that it no longer counts
+  bool idle{};    // nothing on it or meant for it
+  Duration age{};
+};
+
+// Demand in machines. Firm work needs ordinary machines; flexible work may use spot.
+struct TypeDemand {
+  Prediction firm, flexible;  // of the horizon
+  double firmBooked{}, firmWaiting{};
+  double flexibleOnSpot{}, flexibleOnOrdinary{}, flexibleWaiting{};
+  std::map<ZoneId, double> pinnedWaiting;  // part of the waiting that only this zone helps
+};
+
+struct RentInput {
+  const MachineType* type{};
+  std::vector<RentMachine> machines;             // of this type, not leaving
+  std::map<Offer, std::uint32_t> ordered;        // rentals asked for, not answered
+  std::set<Offer> refused;                       // not to be asked now
+  TypeDemand demand;
+  double spreadMultiple = 1.0;
+  bool useSpot = true;
+  bool giveBack{};  // the window turns
+  Duration minimumCharge{60000};
+};
+
+struct Rental {
+  Offer offer;
+  std::uint32_t count{};
+};
+
+struct RentDecision {
+  std::vector<Rental> rentals;
+  std::vector<MachineId> giveBack;
+  int ordinaryTarget{}, spotTarget{};
+};
+
+RentDecision decideRent(const RentInput& in);
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/config/operator.cpp
@@ -0,0 +1,79 @@
+#include "config/operator.hpp"
+
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <stdexcept>
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+namespace kestrelhoist {
+
+const char* const kOperatorSchema = R"({
+  "$schema": "http://json-schema.org/draft-07/schema#",
+  "title": "kestrelhoist operator settings",
+  "type": "object",
+  "additionalProperties": false,
+  "properties": {
+    "forecast": {
+      "type": "object",
+      "additionalProperties": false,
+      "properties": {
+        "window_s": {"type": "number", "minimum": 1, "maximum": 600},
+        "spread_multiple": {"type": "number", "minimum": 0, "maximum": 10}
+      }
+    },
+    "fleet": {
+      "type": "object",
+      "additionalProperties": false,
+      "properties": {
+        "use_spot": {"type": "boolean"},
+        "max_machines": {"type": "integer", "minimum": 0, "maximum": 100000}
+      }
+    }
+  }
+})";
+
+OperatorSettings parseOperatorSettings(const std::string& text, const std::string& file) {
+  nlohmann::json value = nlohmann::json::parse(text, nullptr, false);
+  if (value.is_discarded()) throw std::runtime_error(file + ": is not JSON");
+
+  valijson::Schema schema;
+  auto schemaJson = nlohmann::json::parse(kOperatorSchema);
+  valijson::adapters::NlohmannJsonAdapter schemaAdapter(schemaJson);
+  valijson::SchemaParser().populateSchema(schemaAdapter, schema);
+  valijson::ValidationResults results;
+  valijson::adapters::NlohmannJsonAdapter adapter(value);
+  if (!valijson::Validator().validate(schema, adapter, &results)) {
+    valijson::ValidationResults::Error error;
+    std::string line = file + ":";
+    // The deepest context names the field; the first error is the most specific one.
+    if (results.popError(error)) {
+      for (const auto& part : error.context) line += " " + part;
+      line += ": " + error.description;
+    }
+    throw std::runtime_error(line);
+  }
+  OperatorSettings s;
+  auto forecast = value.value("forecast", nlohmann::json::object());
+  s.window = fromSeconds(forecast.value("window_s", toSeconds(s.window)));
+  s.spreadMultiple = forecast.value("spread_multiple", s.spreadMultiple);
+  auto fleet = value.value("fleet", nlohmann::json::object());
+  s.useSpot = fleet.value("use_spot", s.useSpot);
+  s.maxMachines = fleet.value("max_machines", s.maxMachines);
+  return s;
+}
+
+OperatorSettings loadOperatorSettings(const std::string& file) {
+  std::ifstream in(file, std::ios::binary);
+  if (!in) throw std::runtime_error(file + ": cannot be read");
+  std::ostringstream text;
+  text << in.rdbuf();
+  if (in.bad()) throw std::runtime_error(file + ": cannot be read");
+  return parseOperatorSettings(text.str(), file);
+}
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/fleet/fleet.cpp
@@ -0,0 +1,278 @@
+#include "fleet/fleet.hpp"
+
+#include <algorithm>
+
+#include "base/log.hpp"
+#include "placement/planner.hpp"
+
+namespace kestrelhoist {
+namespace {
+// A worker gives up on a report after 4 s and tries the next node 1 s later (PROTOCOL, "Workers").
+constexpr Duration kWorkerGivesUp{4000};
+constexpr Duration kWorkerNextNode{1000};
+constexpr Duration kForgetReleased{15 * 60 * 1000};
+constexpr double kBootPatience = 2.5;  // times the type's boot time
+}  // namespace
+
+Fleet::Fleet(const Platform& platform, const Replica& replica, Token token, Instant now)
+    : platform_(platform), replica_(replica), token_(token), since_(now), lastHeardAny_(now) {}
+
+Machine* Fleet::find(const MachineId& id) {
+  auto it = machines_.find(id);
+  return it == machines_.end() ? nullptr : &it->second;
+}
+
+bool Fleet::take(const Report& report, Instant now) {
+  auto [it, isNew] = machines_.try_emplace(report.machine);
+  Machine& m = it->second;
+  if (isNew) {
+    m.id = report.machine;
+    m.firstSeen = m.rentedAt = now;
+  }
+  bool first = !m.heard();
+  if (!takeReport(m.memory, report, now)) return false;
+  m.type = report.type;
+  m.zone = report.zone;
+  m.spot = report.spot;
+  lastHeardAny_ = now;
+  if (first) {
+    spdlog::info("machine {} heard: zone {}, {}, tenure {}, {} tasks", m.id.value, m.zone.value,
+                 m.spot ? "spot" : "ordinary", report.tenure.value, report.tasks.size());
+  }
+  if (report.notice) {
+    if (!m.noticeEnds) {
+      spdlog::info("machine {}: notice, taken in {} s", m.id.value, toSeconds(*report.notice));
+    }
+    m.noticeEnds = now + *report.notice;
+  }
+  touchImages(m);
+  std::erase_if(m.seenRunning, [&](const auto& s) { return !report.find(s.first); });
+  for (const auto& t : report.tasks) {
+    if (t.state == TaskState::running) m.seenRunning.try_emplace(t.id, now);
+  }
+  return true;
+}
+
+std::vector<Order> Fleet::onReport(const Report& report, Instant now, bool mayLaunch) {
+  take(report, now);
+  return ordersFor(machines_.at(report.machine), now, mayLaunch);
+}
+
+std::vector<Order> Fleet::ordersFor(Machine& m, Instant now, bool mayLaunch) {
+  const auto* record = replica_.machine(m.id);
+  // Facts about attempts that are off the record by now are settled.
+  std::erase_if(m.memory.gone, [&](const auto& g) {
+    return !record || std::find(record->tasks.begin(), record->tasks.end(), g.first) ==
+                          record->tasks.end();
+  });
+  std::erase_if(m.memory.stops, [&](const auto& s) {
+    return !record || std::find(record->tasks.begin(), record->tasks.end(), s.first) ==
+                          record->tasks.end();
+  });
+  bool launch = mayLaunch && !(record && record->leaving);
+  return reconcile(m.memory, record, token_, launch,
+                   [&](const AttemptId& id) { return wishFor(m, id, now); });
+}
+
+Wish Fleet::wishFor(const Machine& m, const AttemptId& id, Instant now) const {
+  const auto* job = replica_.job(id.task.job);
+  if (!job || !job->active()) return {true, Duration{0}};
+  const auto* record = replica_.machine(m.id);
+  if (record && record->leaving) return {true, Duration{0}};
+  if (auto stop = m.memory.stops.find(id); stop != m.memory.stops.end()) {
+    return {true, stop->second};
+  }
+  if (m.noticeEnds && job->record.spec) {
+    const JobSpec& spec = *job->record.spec;
+    Duration left = *m.noticeEnds - now;
+    auto seen = m.seenRunning.find(id);
+    Duration age = seen == m.seenRunning.end() ? Duration{0} : now - seen->second;
+    // The notice is rough: half as long at worst, which the worker's report already counts down.
+    if (spec.checkpoints()) {
+      if (left < spec.saveTime + 2 * platform_.reportEvery + Duration{4000}) {
+        return {true, graceFor(spec)};
+      }
+    } else if (spec.kind == JobKind::service || spec.estimate - age > left * 3 / 2) {
+      return {true, Duration{0}};  // can't end in time: start again elsewhere now
+    }
+  }
+  return {};
+}
+
+void Fleet::touchImages(Machine& m) {
+  if (!m.memory.last) return;
+  for (const auto& t : m.memory.last->tasks) {
+    const auto* job = replica_.job(t.id.task.job);
+    if (!job || !job->record.spec || t.state == TaskState::ended) continue;
+    const auto& spec = *job->record.spec;
+    auto it = std::find_if(m.images.begin(), m.images.end(),
+                           [&](const auto& i) { return i.first == spec.image; });
+    if (it != m.images.end()) m.images.erase(it);
+    m.images.emplace_front(spec.image, spec.imageGb);
+  }
+  const MachineType* type = catalogue_ ? catalogue_->find(m.type) : nullptr;
+  double space = type ? type->cacheGb : 0;
+  double used = 0;
+  for (std::size_t i = 0; i < m.images.size(); ++i) {
+    used += m.images[i].second;
+    if (space > 0 && used > space) {
+      m.images.resize(i);
+      break;
+    }
+  }
+}
+
+void Fleet::requestStop(const AttemptId& id, const MachineId& machine, Duration grace) {
+  if (auto* m = find(machine)) m->memory.stops.insert_or_assign(id, grace);
+}
+
+void Fleet::wantRelease(Machine& m, const std::string& why) {
+  if (m.releaseWanted) return;
+  m.releaseWanted = true;
+  m.releaseWhy = why;
+  spdlog::info("machine {}: to be released: {}", m.id.value, why);
+}
+
+void Fleet::onReleased(const MachineId& id, Instant now) {
+  machines_.erase(id);
+  released_[id] = now;
+  std::erase_if(released_, [&](const auto& r) { return now - r.second > kForgetReleased; });
+}
+
+bool Fleet::usable(const Machine& m, Instant now) const {
+  if (!m.heard() || m.releaseWanted || m.noticeEnds || faulty(m)) return false;
+  const Report& last = *m.memory.last;
+  if (last.token != token_) return false;
+  if (now - m.memory.lastHeard > 2 * platform_.reportEvery + Duration{1000}) return false;
+  const auto* record = replica_.machine(m.id);
+  if (!record || record->leaving) return false;
+  return record->tasks.empty() || record->tenure == last.tenure;
+}
+
+// A worker whose node went away reports to the next one after this long at worst.
+Duration Fleet::silentAfter() const {
+  return 2 * platform_.reportEvery + kWorkerGivesUp + 2 * kWorkerNextNode;
+}
+
+bool Fleet::allReported() const {
+  for (const auto& [id, record] : replica_.machines()) {
+    if (record.tasks.empty() || record.leaving) continue;
+    auto it = machines_.find(id);
+    if (it == machines_.end() || !it->second.heard() || it->second.memory.last->token != token_) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void Fleet::adoptRecords(Instant now, std::int64_t wallMs) {
+  for (const auto& [id, record] : replica_.machines()) {
+    if (released_.contains(id)) continue;
+    auto [it, isNew] = machines_.try_emplace(id);
+    if (!isNew) continue;
+    Machine& m = it->second;
+    m.id = id;
+    m.type = record.type;
+    m.zone = record.zone;
+    m.spot = record.spot;
+    m.firstSeen = now;
+    auto age = record.rentedAtMs > 0 ? wallMs - record.rentedAtMs : 0;
+    m.rentedAt = now - Duration{std::clamp<std::int64_t>(age, 0, 24LL * 3600 * 1000)};
+  }
+}
+
+void Fleet::onList(const std::vector<std::pair<MachineId, Machine>>& listed, Instant now,
+                   Duration listLag) {
+  std::set<MachineId> seen;
+  for (const auto& [id, entry] : listed) {
+    if (released_.contains(id)) continue;
+    seen.insert(id);
+    auto [it, isNew] = machines_.try_emplace(id, entry);
+    Machine& m = it->second;
+    if (isNew) {
+      m.firstSeen = now;
+      if (!replica_.machine(id)) spdlog::info("machine {} is listed but on no record", id.value);
+    }
+    m.listed = entry.listed;
+    m.rentedAt = entry.rentedAt;
+    m.missedLists = 0;
+  }
+  for (auto& [id, m] : machines_) {
+    if (seen.contains(id)) continue;
+    // Lists lag by up to twice the bound, and one may be older than the one before.
+    if (now - m.rentedAt > 3 * listLag && now - m.firstSeen > 3 * listLag) ++m.missedLists;
+  }
+}
+
+std::size_t Fleet::silentCount(Instant now) const {
+  std::size_t n = 0;
+  for (const auto& [id, m] : machines_) {
+    if (m.heard() && now - m.memory.lastHeard > silentAfter()) ++n;
+  }
+  return n;
+}
+
+void Fleet::judge(Instant now, const Catalogue* catalogue) {
+  catalogue_ = catalogue;
+  std::map<ZoneId, std::pair<int, int>> zones;  // machines that report, machines that do not
+  int reporting = 0;
+  for (const auto& [id, m] : machines_) {
+    bool expected = m.heard() || (replica_.machine(id) && !replica_.machine(id)->tasks.empty());
+    if (!expected) continue;
+    Instant last = m.heard() ? m.memory.lastHeard : since_ + silentAfter() / 2;
+    if (now - last <= silentAfter()) {
+      ++zones[m.zone].first;
+      ++reporting;
+    } else {
+      ++zones[m.zone].second;
+    }
+  }
+  for (auto& [id, m] : machines_) {
+    const auto* record = replica_.machine(id);
+    if (record && record->leaving) {
+      wantRelease(m, "release was begun");
+      continue;
+    }
+    bool hasTasks = record && !record->tasks.empty();
+    if (m.listed == Listed::failed) {
+      wantRelease(m, "the cloud lists it as failed");
+      continue;
+    }
+    Instant last = m.heard() ? m.memory.lastHeard : std::max(since_, m.firstSeen);
+    Duration silent = now - last;
+    if (m.missedLists >= 2 && silent > 2 * platform_.reportEvery) {
+      wantRelease(m, "no longer listed and silent");
+      continue;
+    }
+    if (m.noticeEnds && !hasTasks) {
+      wantRelease(m, "notice, and nothing left on it");
+      continue;
+    }
+    if (faulty(m) && !hasTasks) {
+      wantRelease(m, "tasks of several jobs failed on it");
+      continue;
+    }
+    if (!m.heard() && !hasTasks) {
+      const MachineType* type = catalogue ? catalogue->find(m.type) : nullptr;
+      if (type && m.listed != Listed::running &&
+          toSeconds(now - m.rentedAt) > kBootPatience * toSeconds(type->boot) + 5 &&
+          now - since_ > silentAfter()) {
+        wantRelease(m, "did not boot");
+      } else if (m.listed == Listed::running && silent > platform_.workerLease) {
+        wantRelease(m, "runs but never reported");
+      }
+      continue;
+    }
+    // Dead or out of reach. While others of its zone report it is most likely dead; when a whole
+    // zone is silent, wait until its workers have lost their leases anyway.
+    bool zoneSilent = zones[m.zone].first == 0 && zones[m.zone].second > 1;
+    Duration patience = silentAfter();
+    if (zoneSilent || reporting == 0) patience = std::max(patience, platform_.workerLease) + 2 * platform_.reportEvery;
+    if (!m.heard()) patience += silentAfter() / 2;
+    if (silent > patience) {
+      wantRelease(m, "silent for " + std::to_string(silent.count()) + " ms");
+    }
+  }
+}
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/fleet/fleet.hpp
@@ -0,0 +1,88 @@
+// The leader's picture of the machines: what their workers report, what the cloud lists, which
+// images they hold, which are suspected dead. Lives as long as one leadership.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <set>
+
+#include "cloud/catalogue.hpp"
+#include "config/platform.hpp"
+#include "fleet/reconcile.hpp"
+#include "store/replica.hpp"
+
+namespace kestrelhoist {
+
+enum class Listed { never, booting, running, failed, missing };
+
+struct Machine {
+  MachineId id;
+  TypeId type;
+  ZoneId zone;
+  bool spot{};
+  MachineMemory memory;
+  std::optional<Instant> noticeEnds;  // the cloud takes it away about then
+  Listed listed = Listed::never;
+  int missedLists{};
+  Instant rentedAt{};  // as far as known
+  Instant firstSeen{};
+  bool releaseWanted{};
+  std::string releaseWhy;
+  std::deque<std::pair<ImageId, double>> images;  // newest first, with their size
+  std::set<JobId> failedJobs;                     // since the last success
+  std::map<AttemptId, Instant> seenRunning;       // since when, for ages
+
+  bool heard() const { return memory.last.has_value(); }
+};
+
+class Fleet {
+ public:
+  Fleet(const Platform& platform, const Replica& replica, Token token, Instant now);
+
+  // Takes a worker's report; returns the orders. `mayLaunch`: the leader is sure of its office.
+  std::vector<Order> onReport(const Report& report, Instant now, bool mayLaunch);
+  // The same for machines that have something to be told now, outside a report.
+  std::vector<Order> ordersFor(Machine& m, Instant now, bool mayLaunch);
+  // A report that came as the answer to a direct command. False if it was not newer.
+  bool take(const Report& report, Instant now);
+
+  void onList(const std::vector<std::pair<MachineId, Machine>>& listed, Instant now,
+              Duration listLag);
+  // Machines on record that were never seen yet get an entry.
+  void adoptRecords(Instant now, std::int64_t wallMs);
+
+  Machine* find(const MachineId& id);
+  std::map<MachineId, Machine>& machines() { return machines_; }
+  void requestStop(const AttemptId& id, const MachineId& machine, Duration grace);
+  void wantRelease(Machine& m, const std::string& why);
+  // The cloud has confirmed the release: whatever its name still appears in is old.
+  void onReleased(const MachineId& id, Instant now);
+  bool isReleased(const MachineId& id) const { return released_.contains(id); }
+
+  // Whether new work may be placed on it.
+  bool usable(const Machine& m, Instant now) const;
+  // Machines to give up: dead, failed, never booted, taken, faulty.
+  void judge(Instant now, const Catalogue* catalogue);
+  // The newest sign of any worker.
+  Instant lastHeardAny() const { return lastHeardAny_; }
+  // All machines that should report have done so under the present token.
+  bool allReported() const;
+  bool faulty(const Machine& m) const { return m.failedJobs.size() >= 2; }
+  std::size_t silentCount(Instant now) const;
+
+ private:
+  Wish wishFor(const Machine& m, const AttemptId& id, Instant now) const;
+  void touchImages(Machine& m);
+  Duration silentAfter() const;
+
+  const Platform& platform_;
+  const Replica& replica_;
+  Token token_;
+  Instant since_;
+  Instant lastHeardAny_{};
+  std::map<MachineId, Machine> machines_;
+  std::map<MachineId, Instant> released_;
+  const Catalogue* catalogue_ = nullptr;
+};
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/fleet/reconcile.cpp
@@ -0,0 +1,105 @@
+#include "fleet/reconcile.hpp"
+
+#include <algorithm>
+
+namespace kestrelhoist {
+namespace {
+
+// A response to a worker may be at most 64 KiB.
+constexpr std::size_t kMaxOrders = 300;
+
+Gone goneFrom(EndCause cause) {
+  switch (cause) {
+    case EndCause::done: return Gone::done;
+    case EndCause::stopped: return Gone::stopped;
+    case EndCause::error: return Gone::failed;
+    default: return Gone::refused;
+  }
+}
+
+}  // namespace
+
+bool takeReport(MachineMemory& m, const Report& report, Instant now) {
+  if (m.last && std::pair(report.tenure, report.tick) <= std::pair(m.last->tenure, m.last->tick)) {
+    return false;
+  }
+  if (m.last && report.tenure > m.last->tenure) {
+    // A new session: direct commands of the old one are refused from now on.
+    m.tainted.clear();
+    m.launched.clear();
+  }
+  m.last = report;
+  m.lastHeard = now;
+  return true;
+}
+
+std::vector<Order> reconcile(MachineMemory& m, const MachineRecord* record, Token token,
+                             bool mayLaunch, const std::function<Wish(const AttemptId&)>& wish) {
+  std::vector<Order> orders;
+  if (!m.last) return orders;
+  const Report& report = *m.last;
+  auto add = [&](Order::Kind kind, const AttemptId& id, Duration grace = Duration{0}) {
+    if (orders.size() < kMaxOrders) orders.push_back({kind, id, grace});
+  };
+  static const std::vector<AttemptId> kNone;
+  const auto& onRecord = record ? record->tasks : kNone;
+  // A report of an earlier session than the record's says nothing about its placements.
+  bool older = record && report.tenure < record->tenure;
+  bool newer = record && report.tenure > record->tenure;
+
+  for (const auto& id : onRecord) {
+    if (older) break;
+    if (newer) {
+      m.gone.emplace(id, Gone::lost);
+      continue;
+    }
+    if (m.gone.contains(id)) continue;
+    Wish w = wish(id);
+    const ReportedTask* task = report.find(id);
+    if (!task) {
+      if (!w.stop) {
+        if (mayLaunch) {
+          add(Order::Kind::launch, id);
+          m.launched[id] = report.tick;
+        }
+        continue;
+      }
+      // Told to launch in answer to this very report, or by an earlier leader whose orders this
+      // worker may still obey: absence proves nothing yet.
+      if (report.token != token) continue;
+      if (m.tainted.contains(id)) {
+        // Makes the worker know the attempt, so that the late launch does nothing.
+        add(Order::Kind::launch, id);
+        add(Order::Kind::stop, id);
+        m.launched[id] = report.tick;
+        continue;
+      }
+      auto launched = m.launched.find(id);
+      if (launched != m.launched.end() && report.tick <= launched->second) continue;
+      m.gone.emplace(id, Gone::stopped);
+      continue;
+    }
+    if (task->state == TaskState::ended) {
+      m.gone.emplace(id, goneFrom(task->cause));
+    } else if (w.stop) {
+      // While it saves, only a stop that grants no time is worth repeating.
+      if (task->state != TaskState::saving || w.grace.count() == 0) {
+        add(Order::Kind::stop, id, w.grace);
+      }
+    }
+  }
+
+  for (const auto& task : report.tasks) {
+    if (std::find(onRecord.begin(), onRecord.end(), task.id) != onRecord.end()) continue;
+    if (task.state != TaskState::ended) {
+      // On no record, so nobody may run it here.
+      add(Order::Kind::stop, task.id);
+    } else if (!m.tainted.contains(task.id)) {
+      // Its end is committed: the record no longer has it.
+      add(Order::Kind::clear, task.id);
+    }
+  }
+  return orders;
+}
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/fleet/reconcile.hpp
@@ -0,0 +1,44 @@
+// Compares a machine's record with what its worker reports: what to order, and what is proven.
+// Pure: the whole argument that a task runs at most once rests here (docs/safety.md).
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+
+#include "fleet/report.hpp"
+#include "store/records.hpp"
+
+namespace kestrelhoist {
+
+// Why a task is off its machine.
+enum class Gone { done, stopped, failed, refused, lost };
+
+// What the leader remembers of one machine between its reports.
+struct MachineMemory {
+  std::optional<Report> last;  // the newest
+  Instant lastHeard{};
+  // Attempts that may have been told to launch, with the newest report known by then: only a
+  // later report can prove them absent.
+  std::map<AttemptId, Tick> launched;
+  // Attempts with a direct launch that got no answer: it may still arrive. The worker must know
+  // the attempt for good, so these are proven gone only as `ended`, and never cleared.
+  std::set<AttemptId> tainted;
+  std::map<AttemptId, Duration> stops;  // asked for, with the time to save
+  std::map<AttemptId, Gone> gone;       // proven, to be committed
+};
+
+// What the leader wants with an attempt on record.
+struct Wish {
+  bool stop{};
+  Duration grace{};
+};
+
+// Takes a newer report in; false if it is not newer than the last one.
+bool takeReport(MachineMemory& memory, const Report& report, Instant now);
+
+// Updates memory.gone and returns the orders. `record` is null for a machine that has none.
+std::vector<Order> reconcile(MachineMemory& memory, const MachineRecord* record, Token token,
+                             bool mayLaunch, const std::function<Wish(const AttemptId&)>& wish);
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/fleet/report.cpp
@@ -0,0 +1,115 @@
+#include "fleet/report.hpp"
+
+#include <charconv>
+
+namespace kestrelhoist {
+namespace {
+
+std::optional<TaskId> taskFrom(const std::string& text) {
+  auto slash = text.rfind('/');
+  if (slash == std::string::npos || slash == 0) return std::nullopt;
+  std::uint32_t index = 0;
+  const char* last = text.data() + text.size();
+  auto [end, error] = std::from_chars(text.data() + slash + 1, last, index);
+  if (error != std::errc{} || end != last) return std::nullopt;
+  return TaskId{JobId{text.substr(0, slash)}, index};
+}
+
+std::optional<TaskState> stateFrom(const std::string& word) {
+  if (word == "fetching") return TaskState::fetching;
+  if (word == "running" || word == "gathering") return TaskState::running;
+  if (word == "flushing") return TaskState::saving;
+  if (word == "ended") return TaskState::ended;
+  return std::nullopt;
+}
+
+EndCause causeFrom(const std::string& word) {
+  if (word == "done") return EndCause::done;
+  if (word == "halted") return EndCause::stopped;
+  if (word == "no_room") return EndCause::noRoom;
+  if (word == "in_use") return EndCause::busy;
+  if (word == "unknown") return EndCause::unknown;
+  return EndCause::error;
+}
+
+}  // namespace
+
+const ReportedTask* Report::find(const AttemptId& id) const {
+  for (const auto& t : tasks) {
+    if (t.id == id) return &t;
+  }
+  return nullptr;
+}
+
+std::optional<Report> reportFrom(const Json& v) {
+  auto machine = textField(v, "host");
+  auto address = textField(v, "addr");
+  auto type = textField(v, "rig");
+  auto zone = textField(v, "site");
+  auto spot = boolField(v, "loaners");
+  auto tenure = countField(v, "tenure");
+  auto tick = countField(v, "tick");
+  auto token = countField(v, "baton");
+  if (!machine || machine->empty() || machine->size() > 150 ||
+      machine->find_first_of(" /?&#%") != std::string::npos || !address || !type || !zone || !tenure ||
+      !tick) {
+    return std::nullopt;
+  }
+  Report r;
+  r.machine = MachineId{*machine};
+  r.address = *address;
+  r.type = TypeId{*type};
+  r.zone = ZoneId{*zone};
+  r.spot = spot.value_or(false);
+  r.tenure = Tenure{*tenure};
+  r.tick = Tick{*tick};
+  r.token = Token{token.value_or(0)};
+  if (auto notice = numberField(v, "warning_s")) r.notice = fromSeconds(std::max(0.0, *notice));
+  if (const Json* tasks = field(v, "shards")) {
+    if (!tasks->is_array()) return std::nullopt;
+    r.tasks.reserve(tasks->size());
+    for (const auto& t : *tasks) {
+      auto name = textField(t, "shard");
+      auto attempt = countField(t, "try");
+      auto phase = textField(t, "phase");
+      auto id = name ? taskFrom(*name) : std::nullopt;
+      auto state = phase ? stateFrom(*phase) : std::nullopt;
+      // A list that can't be read whole proves nothing about what is missing from it.
+      if (!id || !attempt || !state) return std::nullopt;
+      r.tasks.push_back({{*id, Attempt{*attempt}}, *state,
+                         causeFrom(textField(t, "cause").value_or(""))});
+    }
+  } else {
+    return std::nullopt;
+  }
+  return r;
+}
+
+namespace {
+Json orderList(const std::vector<Order>& orders) {
+  Json list = Json::array();
+  for (const auto& o : orders) {
+    Json v = {{"shard", o.id.task.str()}, {"try", o.id.attempt.value}};
+    switch (o.kind) {
+      case Order::Kind::launch: v["verb"] = "launch"; break;
+      case Order::Kind::stop:
+        v["verb"] = "stop";
+        v["wind_down_s"] = toSeconds(o.grace);
+        break;
+      case Order::Kind::clear: v["verb"] = "clear"; break;
+    }
+    list.push_back(std::move(v));
+  }
+  return list;
+}
+}  // namespace
+
+Json ordersToJson(Token token, const std::vector<Order>& orders) {
+  return {{"baton", token.value}, {"orders", orderList(orders)}};
+}
+
+Json commandsToJson(Token token, Tenure tenure, const std::vector<Order>& orders) {
+  return {{"baton", token.value}, {"tenure", tenure.value}, {"orders", orderList(orders)}};
+}
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/fleet/report.hpp
@@ -0,0 +1,46 @@
+// A worker's report and the orders that answer it, with their codecs.
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "base/runtime.hpp"
+#include "base/types.hpp"
+
+namespace kestrelhoist {
+
+enum class TaskState { fetching, running, saving, ended };
+enum class EndCause { done, stopped, error, noRoom, busy, unknown };
+
+struct ReportedTask {
+  AttemptId id;
+  TaskState state{};
+  EndCause cause{};  // if ended
+};
+
+struct Report {
+  MachineId machine;
+  std::string address;
+  TypeId type;
+  ZoneId zone;
+  bool spot{};
+  Tenure tenure;
+  Tick tick;
+  Token token;  // highest the worker has seen
+  std::optional<Duration> notice;
+  std::vector<ReportedTask> tasks;
+
+  const ReportedTask* find(const AttemptId& id) const;
+};
+
+struct Order {
+  enum class Kind { launch, stop, clear } kind{};
+  AttemptId id;
+  Duration grace{};
+};
+
+std::optional<Report> reportFrom(const Json& body);
+Json ordersToJson(Token token, const std::vector<Order>& orders);
+Json commandsToJson(Token token, Tenure tenure, const std::vector<Order>& orders);
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/forecast/forecast.cpp
@@ -0,0 +1,114 @@
+#include "forecast/forecast.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace kestrelhoist {
+namespace {
+constexpr double kRates[Forecast::kPredictors] = {0.02, 0.08, 0.2};
+constexpr double kForget = 0.15;  // of the residual; a burst fades within a minute or so
+constexpr double kMaxWeight = 2.0;
+}  // namespace
+
+std::vector<double> Forecast::inputs(std::size_t ago) const {
+  std::vector<double> x(kInputs, 0.0);
+  for (std::size_t i = 0; i < kInputs; ++i) {
+    if (recent_.size() < ago + i + 2) break;
+    x[i] = recent_[recent_.size() - 1 - ago - i] - recent_[recent_.size() - 2 - ago - i];
+  }
+  return x;
+}
+
+void Forecast::observe(double demand) {
+  if (!std::isfinite(demand) || demand < 0) return;
+  recent_.push_back(demand);
+  ++seen_;
+  if (recent_.size() > horizon_) {
+    // What was known `horizon` windows ago, against what came.
+    double base = recent_[recent_.size() - 1 - horizon_];
+    auto x = inputs(horizon_);
+    double power = std::inner_product(x.begin(), x.end(), x.begin(), 1.0);
+    double meanError = 0;
+    for (std::size_t p = 0; p < kPredictors; ++p) {
+      auto& w = weights_[p];
+      double predicted = base + std::inner_product(x.begin(), x.end(), w.begin(), 0.0);
+      double error = demand - predicted;
+      meanError += error / kPredictors;
+      for (std::size_t i = 0; i < kInputs; ++i) {
+        w[i] = std::clamp(w[i] + kRates[p] * error * x[i] / power, -kMaxWeight, kMaxWeight);
+      }
+    }
+    // One surprise counts a bounded amount: DESIGN names the swarm that inflates the spread, so
+    // that renting goes on for demand already gone.
+    double surprise = std::min(meanError * meanError, 4.0 * residual_ + 1.0);
+    residual_ += kForget * (surprise - residual_);
+  }
+  while (recent_.size() > horizon_ + kInputs + 2) recent_.pop_front();
+}
+
+void Forecast::skip(std::size_t windows, double demand) {
+  if (windows == 0 || !std::isfinite(demand) || demand < 0) return;
+  std::size_t most = horizon_ + kInputs + 2;
+  for (std::size_t i = 0; i < std::min(windows, most); ++i) recent_.push_back(demand);
+  while (recent_.size() > most) recent_.pop_front();
+}
+
+Prediction Forecast::predict(std::mt19937_64& random) const {
+  if (recent_.empty()) return {};
+  auto x = inputs(0);
+  std::bernoulli_distribution keep(1.0 - kDrop);
+  double sum = 0, squares = 0;
+  for (std::size_t run = 0; run < kRuns; ++run) {
+    const auto& w = weights_[run % kPredictors];
+    double y = recent_.back();
+    for (std::size_t i = 0; i < kInputs; ++i) {
+      if (keep(random)) y += w[i] * x[i] / (1.0 - kDrop);
+    }
+    sum += y;
+    squares += y * y;
+  }
+  double mean = sum / kRuns;
+  double variance = std::max(0.0, squares / kRuns - mean * mean);
+  return {std::max(0.0, mean), std::sqrt(variance + residual_)};
+}
+
+Json Forecast::toJson() const {
+  return {{"horizon", horizon_}, {"seen", seen_}, {"recent", recent_}, {"weights", weights_},
+          {"residual", residual_}};
+}
+
+bool Forecast::fromJson(const Json& v) {
+  auto horizon = countField(v, "horizon");
+  auto seen = countField(v, "seen");
+  auto residual = numberField(v, "residual");
+  const Json* recent = field(v, "recent");
+  const Json* weights = field(v, "weights");
+  if (!horizon || *horizon > 1000 || !seen || !residual || !recent || !recent->is_array() ||
+      !weights || !weights->is_array() || weights->size() != kPredictors) {
+    return false;
+  }
+  std::deque<double> newRecent;
+  for (const auto& r : *recent) {
+    if (!r.is_number()) return false;
+    newRecent.push_back(r.get<double>());
+  }
+  std::vector<Weights> newWeights;
+  for (const auto& w : *weights) {
+    if (!w.is_array() || w.size() != kInputs) return false;
+    Weights one;
+    for (const auto& n : w) {
+      if (!n.is_number()) return false;
+      one.push_back(n.get<double>());
+    }
+    newWeights.push_back(std::move(one));
+  }
+  horizon_ = *horizon;
+  seen_ = *seen;
+  residual_ = *residual;
+  recent_ = std::move(newRecent);
+  weights_ = std::move(newWeights);
+  return true;
+}
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/jobs/service.cpp
@@ -0,0 +1,241 @@
+#include "jobs/service.hpp"
+
+#include "base/log.hpp"
+
+namespace kestrelhoist {
+namespace {
+
+constexpr std::size_t kMaxWaiting = 256;  // user requests in work; above it: 429 at once
+constexpr Duration kCommitTimeout{1500};
+// Of the state service's write rate, what one node may use for users in a burst.
+constexpr double kUserWriteShare = 0.4;
+
+const char* phaseWord(const JobState& job) {
+  switch (job.record.phase) {
+    case JobPhase::done: return "done";
+    case JobPhase::cancelled: return "withdrawn";
+    default: return job.placed.empty() ? "pending" : "running";
+  }
+}
+
+}  // namespace
+
+JobService::JobService(Runtime& runtime, StoreClient& store, Feed& feed, Replica& replica,
+                       const Platform& platform)
+    : runtime_(runtime),
+      store_(store),
+      feed_(feed),
+      replica_(replica),
+      platform_(platform),
+      writes_(platform.stateWritesPerS * kUserWriteShare,
+              std::max(2.0, platform.stateWritesPerS * kUserWriteShare)) {}
+
+bool JobService::handle(const Request& request, const Respond& respond) {
+  std::string path = request.path.substr(0, request.path.find('?'));
+  const std::string root = "/v2/runs";
+  if (!path.starts_with(root)) return false;
+  std::string rest = path.substr(root.size());
+  auto wrongMethod = [&] { respond(jsonResponse(405, {{"error", "wrong method"}})); };
+  if (rest.empty()) {
+    if (request.method != "POST") return wrongMethod(), true;
+    submit(request, respond);
+    return true;
+  }
+  if (rest[0] != '/') return false;
+  rest.erase(0, 1);
+  auto slash = rest.find('/');
+  std::string ref = rest.substr(0, slash);
+  std::string tail = slash == std::string::npos ? "" : rest.substr(slash);
+  if (!tail.empty() && tail != "/abort") return false;
+  if (request.method != (tail.empty() ? "GET" : "POST")) return wrongMethod(), true;
+  if (!validJobId(ref)) {
+    respond(jsonResponse(404, {{"error", "no such job"}}));
+  } else if (tail.empty()) {
+    poll(JobId{ref}, respond);
+  } else {
+    abort(JobId{ref}, 5, respond);
+  }
+  return true;
+}
+
+const JobState* JobService::known(const JobId& id) const {
+  const auto* job = replica_.job(id);
+  return job && job->record.spec ? job : nullptr;
+}
+
+const Catalogue* JobService::catalogue() const {
+  Revision stamp = replica_.stampOf(keys::kCatalogue);
+  if (stamp != catalogueStamp_) {
+    catalogueStamp_ = stamp;
+    catalogue_ =
+        replica_.catalogue() ? catalogueFrom(*replica_.catalogue()) : std::optional<Catalogue>{};
+  }
+  return catalogue_ ? &*catalogue_ : nullptr;
+}
+
+Response JobService::stateOf(const JobId& id, const JobState& job, int status) const {
+  auto finished = std::min(job.finishedCount, job.tasks);
+  return jsonResponse(status, {{"ref", id.value},
+                               {"phase", phaseWord(job)},
+                               {"done", finished},
+                               {"running", job.active() ? job.placed.size() : 0}});
+}
+
+void JobService::poll(const JobId& id, const Respond& respond) {
+  // Done and cancelled are final, whatever is newer.
+  if (const auto* job = known(id); job && !job->active()) return respond(stateOf(id, *job, 200));
+  feed_.fresh([this, id, respond](bool ok) {
+    if (!ok) return respond(retryLater(503));
+    const auto* job = known(id);
+    respond(job ? stateOf(id, *job, 200) : jsonResponse(404, {{"error", "no such job"}}));
+  });
+}
+
+// Why a well-formed job can never run, if so.
+std::optional<Invalid> JobService::judge(const JobSpec& spec, const Catalogue& catalogue) const {
+  auto team = platform_.teams.find(spec.team);
+  if (team == platform_.teams.end()) return Invalid{"unknown team"};
+  bool fits = false;
+  for (const auto& type : catalogue.types) {
+    if (!spec.allowsType(type.id) || !spec.perTask.fitsIn(type.room)) continue;
+    fits = fits || !spec.zone ||
+           std::find(type.zones.begin(), type.zones.end(), *spec.zone) != type.zones.end();
+  }
+  if (!fits) return Invalid{"no allowed machine type can hold a task"};
+  double tasks = spec.kind == JobKind::service ? spec.tasks : 1;
+  const Room& limit = team->second.limit;
+  if ((limit.cpus > 0 && spec.perTask.cpus * tasks > limit.cpus + 1e-6) ||
+      (limit.gpus > 0 && spec.perTask.gpus * tasks > limit.gpus + 1e-6)) {
+    return Invalid{"over the team's limit"};
+  }
+  return std::nullopt;
+}
+
+void JobService::submit(const Request& request, const Respond& respond) {
+  auto body = decodeBody(request.body);
+  if (!body || !body->is_object()) return respond(jsonResponse(400, {{"error", "not a CBOR map"}}));
+  auto ref = textField(*body, "ref");
+  if (!ref || !validJobId(*ref)) return respond(jsonResponse(400, {{"error", "bad ref"}}));
+  JobId id{*ref};
+  if (const auto* job = known(id); job && !job->active()) return respond(stateOf(id, *job, 200));
+  if (!feed_.loaded()) return respond(retryLater(503));
+
+  auto parsed = parseSubmission(*body);
+  const auto* types = catalogue();
+  std::optional<Response> refusal;
+  if (auto* bad = std::get_if<Invalid>(&parsed)) {
+    refusal = jsonResponse(400, {{"error", bad->why}});
+  } else if (!types) {
+    refusal = retryLater(503);
+  } else if (auto never = judge(std::get<JobSpec>(parsed), *types)) {
+    refusal = jsonResponse(422, {{"error", never->why}});
+  }
+  std::shared_ptr<const JobSpec> spec;
+  if (!refusal) {
+    spec = std::make_shared<const JobSpec>(std::get<JobSpec>(std::move(parsed)));
+    JobRecord record{spec, JobPhase::active, runtime_.wallMillis()};
+    if (toJson(record).dump().size() + 256 > platform_.valueBytes) {
+      refusal = jsonResponse(400, {{"error", "too long"}});
+    }
+  }
+  if (refusal || known(id)) {
+    // A job that was accepted before is answered with its state, whatever is sent now.
+    feed_.fresh([this, id, respond, refusal](bool ok) {
+      if (!ok) return respond(retryLater(503));
+      if (const auto* job = known(id)) return respond(stateOf(id, *job, 200));
+      respond(refusal ? *refusal : retryLater(503));
+    });
+    return;
+  }
+  paced(respond, [this, spec, respond] { create(spec, 3, respond); });
+}
+
+void JobService::paced(const Respond& respond, std::function<void()> next, int triesLeft) {
+  if (waiting_ >= kMaxWaiting) return respond(retryLater(429));
+  Duration wait = writes_.waitFor(runtime_.now(), 1);
+  if (wait.count() == 0) {
+    writes_.take(runtime_.now(), 1);
+    next();
+    return;
+  }
+  if (triesLeft == 0) return respond(retryLater(429));
+  ++waiting_;
+  runtime_.after(std::min(wait, Duration{200}), [this, respond, next = std::move(next), triesLeft] {
+    --waiting_;
+    paced(respond, next, triesLeft - 1);
+  });
+}
+
+void JobService::create(std::shared_ptr<const JobSpec> spec, int triesLeft,
+                        const Respond& respond) {
+  if (waiting_ >= kMaxWaiting) return respond(retryLater(429));
+  JobRecord record{spec, JobPhase::active, runtime_.wallMillis()};
+  Transaction t;
+  t.conditions.push_back({keys::job(spec->id), Revision{}});
+  t.writes.push_back({keys::job(spec->id), toJson(record), std::nullopt});
+  ++waiting_;
+  store_.commit(t, kCommitTimeout, [this, spec, t, triesLeft, respond](CommitResult r) {
+    --waiting_;
+    switch (r.outcome) {
+      case Outcome::applied:
+        replica_.apply({t.writes[0].key, t.writes[0].value, r.epoch});
+        spdlog::info("job {} accepted: {} tasks, class {}", spec->id.value, spec->tasks,
+                     spec->jobClass);
+        respond(jsonResponse(201, {{"ref", spec->id.value}, {"phase", "pending"}}));
+        if (onCommitted) onCommitted();
+        return;
+      case Outcome::conflict:  // known already: by a retry, or by our own lost answer
+        feed_.fresh([this, id = spec->id, respond](bool ok) {
+          const auto* job = ok ? known(id) : nullptr;
+          respond(job ? stateOf(id, *job, 200) : retryLater(503));
+        });
+        return;
+      case Outcome::refused:
+        // Rate limit or outage. One more try soon, unless reads fail as well.
+        if (triesLeft > 0 && feed_.reachable()) {
+          runtime_.after(Duration{150}, [this, spec, triesLeft, respond] {
+            create(spec, triesLeft - 1, respond);
+          });
+          return;
+        }
+        return respond(retryLater(503));
+      default:
+        // Not known whether it was accepted: the user asks again with the same id.
+        return respond(retryLater(503));
+    }
+  });
+}
+
+void JobService::abort(const JobId& id, int triesLeft, const Respond& respond) {
+  if (const auto* job = known(id); job && !job->active()) return respond(stateOf(id, *job, 200));
+  feed_.fresh([this, id, triesLeft, respond](bool ok) {
+    if (!ok) return respond(retryLater(503));
+    const auto* job = known(id);
+    if (!job) return respond(jsonResponse(404, {{"error", "no such job"}}));
+    if (!job->active()) return respond(stateOf(id, *job, 200));
+    JobRecord record = job->record;
+    record.phase = JobPhase::cancelled;
+    Transaction t;
+    // On the stamp that was read: a placement or an end committed meanwhile makes this fail.
+    t.conditions.push_back({keys::job(id), job->stamp});
+    t.writes.push_back({keys::job(id), toJson(record), std::nullopt});
+    store_.commit(t, kCommitTimeout, [this, id, t, triesLeft, respond](CommitResult r) {
+      if (r.outcome == Outcome::applied) {
+        replica_.apply({t.writes[0].key, t.writes[0].value, r.epoch});
+        spdlog::info("job {} cancelled by its user", id.value);
+        if (onCommitted) onCommitted();
+        return respond(jsonResponse(200, {{"ref", id.value}, {"phase", "withdrawn"}}));
+      }
+      if (r.outcome == Outcome::conflict && triesLeft > 0) return abort(id, triesLeft - 1, respond);
+      if (r.outcome == Outcome::refused && triesLeft > 0 && feed_.reachable()) {
+        runtime_.after(Duration{150}, [this, id, triesLeft, respond] {
+          abort(id, triesLeft - 1, respond);
+        });
+        return;
+      }
+      respond(retryLater(503));
+    });
+  });
+}
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/jobs/service.hpp
@@ -0,0 +1,46 @@
+// The users' interface: submissions, polls, cancellations.
+#pragma once
+
+#include <functional>
+
+#include "cloud/catalogue.hpp"
+#include "config/platform.hpp"
+#include "store/feed.hpp"
+
+namespace kestrelhoist {
+
+class JobService {
+ public:
+  JobService(Runtime& runtime, StoreClient& store, Feed& feed, Replica& replica,
+             const Platform& platform);
+
+  // Answers /v2/runs and below; false if the path is not one of these.
+  bool handle(const Request& request, const Respond& respond);
+
+  std::function<void()> onCommitted;  // a job was accepted or cancelled here
+  // Whether the fleet's types are known; refreshed from the record.
+  const Catalogue* catalogue() const;
+
+ private:
+  void submit(const Request& request, const Respond& respond);
+  void poll(const JobId& id, const Respond& respond);
+  void abort(const JobId& id, int triesLeft, const Respond& respond);
+  // Calls `next` once a slot of the write rate is free; refuses when that takes too long.
+  void paced(const Respond& respond, std::function<void()> next, int triesLeft = 10);
+  void create(std::shared_ptr<const JobSpec> spec, int triesLeft, const Respond& respond);
+  std::optional<Invalid> judge(const JobSpec& spec, const Catalogue& catalogue) const;
+  const JobState* known(const JobId& id) const;
+  Response stateOf(const JobId& id, const JobState& job, int status) const;
+
+  Runtime& runtime_;
+  StoreClient& store_;
+  Feed& feed_;
+  Replica& replica_;
+  const Platform& platform_;
+  RateBudget writes_;
+  std::size_t waiting_ = 0;
+  mutable std::optional<Catalogue> catalogue_;
+  mutable Revision catalogueStamp_;
+};
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/jobs/spec.hpp
@@ -0,0 +1,61 @@
+// What a user asked for, and the record of it.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/runtime.hpp"
+#include "base/types.hpp"
+
+namespace kestrelhoist {
+
+enum class JobKind { array, service };
+enum class Priority { low, normal, high, production };  // ordered
+enum class JobPhase { active, done, cancelled };
+
+struct JobSpec {
+  JobId id;
+  std::string jobClass;
+  TeamId team;
+  JobKind kind{};
+  Priority priority{};
+  std::uint32_t tasks{};
+  Room perTask;
+  ImageId image;
+  double imageGb{};
+  std::optional<std::vector<TypeId>> types;  // empty optional: any
+  std::optional<ZoneId> zone;
+  bool oneZone{};
+  bool spread{};
+  bool spotAllowed{};
+  Duration estimate{};
+  Duration checkpointEvery{};  // 0: never saves
+  Duration saveTime{};
+  std::optional<Duration> deadline;
+
+  bool allowsType(const TypeId& type) const;
+  bool checkpoints() const { return checkpointEvery.count() > 0; }
+  // How many tasks may be in one zone.
+  std::uint32_t zoneLimit() const { return spread ? (tasks + 1) / 2 : tasks; }
+};
+
+struct Invalid {
+  std::string why;
+};
+
+inline constexpr std::uint32_t kMaxTasks = 100000;
+
+// j- and digits.
+bool validJobId(const std::string& ref);
+
+// The body of POST /v2/runs.
+std::variant<JobSpec, Invalid> parseSubmission(const Json& body);
+
+// The record's own form.
+Json jobSpecToJson(const JobSpec& spec);
+std::optional<JobSpec> jobSpecFromJson(const JobId& id, const Json& value);
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/leadership/election.cpp
@@ -0,0 +1,89 @@
+#include "leadership/election.hpp"
+
+#include <algorithm>
+
+namespace kestrelhoist {
+
+LeaderRecord Election::record() const {
+  return {settings_.self, settings_.boot + "." + std::to_string(claims_)};
+}
+
+bool Election::isMine(const std::optional<LeaderRecord>& leader) const {
+  return leader && leader->member == settings_.self && leader->boot == record().boot;
+}
+
+Election::Step Election::tick(Instant now, const View& view) {
+  switch (role_) {
+    case Role::granting:
+    case Role::claiming:
+      return Step::none;
+    case Role::leader:
+      // The key went (the lease ended) or another has it: every write of ours fails by now.
+      if (view.fresh && (!isMine(view.leader) || view.stamp != token_)) {
+        stepDown(now);
+        return Step::none;
+      }
+      if (!renewing_ && now - lastRenew_ >= settings_.renewEvery) {
+        renewing_ = true;
+        lastRenew_ = now;
+        return Step::renew;
+      }
+      return Step::none;
+    case Role::follower:
+      break;
+  }
+  if (!view.fresh) return Step::none;
+  if (claims_ > 0 && lease_ && isMine(view.leader)) {
+    // A claim whose answer was lost has got through.
+    role_ = Role::leader;
+    token_ = view.stamp;
+    renewing_ = false;
+    lastRenew_ = Instant{};
+    return Step::none;
+  }
+  if (now < notBefore_) return Step::none;
+  // A key with our own name is from an earlier life of this member: taken over on its stamp.
+  if (view.leader && view.leader->member != settings_.self) return Step::none;
+  claimStamp_ = view.leader ? view.stamp : Token{};
+  role_ = Role::granting;
+  return Step::grant;
+}
+
+void Election::onGranted(std::optional<LeaseId> lease) {
+  if (role_ != Role::granting) return;
+  lease_ = lease;
+  role_ = lease ? Role::claiming : Role::follower;
+  if (lease) ++claims_;
+}
+
+void Election::onClaimed(Instant now, const CommitResult& result) {
+  if (role_ != Role::claiming) return;
+  if (result.outcome == Outcome::applied) {
+    role_ = Role::leader;
+    token_ = Token{result.epoch.value};
+    renewing_ = false;
+    lastRenew_ = now;
+    return;
+  }
+  role_ = Role::follower;
+  // Without an answer the claim may have got through: tick() recognizes it by record().
+  if (result.outcome != Outcome::unknown) lease_.reset();
+  notBefore_ = std::max(notBefore_, now + Duration{200});
+}
+
+void Election::onRenewed(LeaseOutcome outcome) {
+  renewing_ = false;
+  if (role_ == Role::leader && outcome == LeaseOutcome::gone) {
+    role_ = Role::follower;
+    lease_.reset();
+  }
+}
+
+void Election::stepDown(Instant until) {
+  role_ = Role::follower;
+  lease_.reset();
+  renewing_ = false;
+  holdBack(until);
+}
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/leadership/election.hpp
@@ -0,0 +1,64 @@
+// Who leads: a pure state machine. The leader holds the key `leader`, bound to a lease; the
+// key's stamp is the token that workers obey and that every leader write conditions on.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "base/types.hpp"
+#include "store/client.hpp"
+#include "store/records.hpp"
+
+namespace kestrelhoist {
+
+class Election {
+ public:
+  struct Settings {
+    MemberId self;
+    std::string boot;        // unique for each life of the process
+    Duration life{3000};     // of the lease
+    Duration renewEvery{750};
+  };
+  // What the newest read says of the leader key.
+  struct View {
+    bool fresh{};  // read a moment ago
+    std::optional<LeaderRecord> leader;
+    Token stamp;
+  };
+  enum class Step { none, grant, claim, renew };
+  enum class Role { follower, granting, claiming, leader };
+
+  explicit Election(Settings settings) : settings_(std::move(settings)) {}
+
+  // What to do now. For `claim`, write record() with claimLease() on the condition of
+  // claimStamp(); for `renew`, renew lease().
+  Step tick(Instant now, const View& view);
+  void onGranted(std::optional<LeaseId> lease);
+  void onClaimed(Instant now, const CommitResult& result);
+  void onRenewed(LeaseOutcome outcome);
+  // Gives up leading, and does not stand again before `until`.
+  void stepDown(Instant until);
+  // Not a candidate before `until`.
+  void holdBack(Instant until) { notBefore_ = std::max(notBefore_, until); }
+
+  Role role() const { return role_; }
+  bool leads() const { return role_ == Role::leader; }
+  Token token() const { return token_; }
+  std::optional<LeaseId> lease() const { return lease_; }
+  Token claimStamp() const { return claimStamp_; }
+  LeaderRecord record() const;
+  bool isMine(const std::optional<LeaderRecord>& leader) const;
+
+ private:
+  Settings settings_;
+  Role role_ = Role::follower;
+  Token token_;
+  Token claimStamp_;
+  std::optional<LeaseId> lease_;
+  bool renewing_ = false;
+  Instant lastRenew_{};
+  Instant notBefore_{};
+  std::uint64_t claims_ = 0;
+};
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/leadership/mesh.cpp
@@ -0,0 +1,104 @@
+#include "leadership/mesh.hpp"
+
+#include "base/log.hpp"
+
+namespace kestrelhoist {
+
+Json toJson(const Sighting& s) {
+  return {{"member", s.member.value},
+          {"token", s.token.value},
+          {"leading", s.leading},
+          {"store_age_ms", s.storeAge.count()},
+          {"workers_age_ms", s.workersAge.count()},
+          {"ready", s.ready}};
+}
+
+std::optional<Sighting> sightingFrom(const Json& v) {
+  auto member = textField(v, "member");
+  auto token = countField(v, "token");
+  auto leading = boolField(v, "leading");
+  auto store = countField(v, "store_age_ms");
+  auto workers = countField(v, "workers_age_ms");
+  if (!member || !token || !leading || !store || !workers) return std::nullopt;
+  return Sighting{MemberId{*member},
+                  Token{*token},
+                  *leading,
+                  Duration{static_cast<std::int64_t>(*store)},
+                  Duration{static_cast<std::int64_t>(*workers)},
+                  boolField(v, "ready").value_or(false)};
+}
+
+Mesh::Mesh(Runtime& runtime, HttpClient& http, const Platform& platform)
+    : runtime_(runtime), http_(http), peers_(platform.peers) {}
+
+void Mesh::start(std::function<Sighting()> own, Duration every) {
+  own_ = std::move(own);
+  every_ = every;
+  tell();
+}
+
+void Mesh::tell() {
+  for (const auto& peer : peers_) {
+    if (asking_[peer.member]) continue;  // still waiting for its last answer
+    asking_[peer.member] = true;
+    http_.send(peer.address, {"POST", "/mesh/hello", encodeBody(toJson(own_()))}, Duration{1000},
+               [this, member = peer.member](const std::optional<Response>& r) {
+                 asking_[member] = false;
+                 if (!r || r->status != 200) return;
+                 if (auto body = decodeBody(r->body)) note(*body);
+               });
+  }
+  runtime_.after(every_, [this] { tell(); });
+}
+
+void Mesh::note(const Json& body) {
+  auto s = sightingFrom(body);
+  if (!s) return;
+  for (const auto& peer : peers_) {
+    if (peer.member != s->member) continue;
+    sightings_[s->member] = {*s, runtime_.now()};
+    if (onNews) onNews();
+  }
+}
+
+Response Mesh::onHello(const Request& request) {
+  auto body = decodeBody(request.body);
+  if (!body) return jsonResponse(400, {{"error", "not CBOR"}});
+  note(*body);
+  return jsonResponse(200, toJson(own_()));
+}
+
+void Mesh::nudge(const MemberId& leader) {
+  for (const auto& peer : peers_) {
+    if (peer.member != leader) continue;
+    http_.send(peer.address, {"POST", "/mesh/nudge", encodeBody(Json::object())}, Duration{1000},
+               [](const std::optional<Response>&) {});
+  }
+}
+
+void Mesh::forward(const MemberId& member, const Request& request, Duration timeout,
+                   OnReply done) {
+  for (const auto& peer : peers_) {
+    if (peer.member != member) continue;
+    http_.send(peer.address, {request.method, "/mesh/user" + request.path, request.body}, timeout,
+               std::move(done));
+    return;
+  }
+  done(std::nullopt);
+}
+
+const Sighting* Mesh::heard(const MemberId& peer, Duration within) const {
+  auto it = sightings_.find(peer);
+  if (it == sightings_.end() || runtime_.now() - it->second.second > within) return nullptr;
+  return &it->second.first;
+}
+
+std::optional<MemberId> Mesh::peerWithStore(Duration within) const {
+  for (const auto& peer : peers_) {
+    const auto* s = heard(peer.member, within);
+    if (s && s->ready && s->storeAge < within) return peer.member;
+  }
+  return std::nullopt;
+}
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/leadership/mesh.hpp
@@ -0,0 +1,56 @@
+// What the controllers tell one another: how each one sees the state service, the workers and
+// the leader. It never decides safety, only who should act.
+#pragma once
+
+#include <functional>
+#include <map>
+
+#include "base/runtime.hpp"
+#include "config/platform.hpp"
+
+namespace kestrelhoist {
+
+struct Sighting {
+  MemberId member;
+  Token token;            // highest known
+  bool leading{};
+  Duration storeAge{};    // since its last successful read
+  Duration workersAge{};  // since it last heard a worker
+  bool ready{};
+};
+
+Json toJson(const Sighting& s);
+std::optional<Sighting> sightingFrom(const Json& v);
+
+class Mesh {
+ public:
+  Mesh(Runtime& runtime, HttpClient& http, const Platform& platform);
+
+  // Sends `own()` to every peer now and then.
+  void start(std::function<Sighting()> own, Duration every);
+  Response onHello(const Request& request);
+  // Tells the leader to read at once.
+  void nudge(const MemberId& leader);
+  // Passes a user's request to a peer that reaches the state service.
+  void forward(const MemberId& peer, const Request& request, Duration timeout, OnReply done);
+
+  // What a peer said no longer ago than `within`.
+  const Sighting* heard(const MemberId& peer, Duration within) const;
+  std::optional<MemberId> peerWithStore(Duration within) const;
+  const std::map<MemberId, std::pair<Sighting, Instant>>& sightings() const { return sightings_; }
+
+  std::function<void()> onNews;
+
+ private:
+  void tell();
+  void note(const Json& body);
+  Runtime& runtime_;
+  HttpClient& http_;
+  std::vector<Peer> peers_;
+  std::map<MemberId, std::pair<Sighting, Instant>> sightings_;
+  std::map<MemberId, bool> asking_;
+  std::function<Sighting()> own_;
+  Duration every_{1000};
+};
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/placement/planner.cpp
@@ -0,0 +1,247 @@
+#include "placement/planner.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+
+namespace kestrelhoist {
+
+Duration graceFor(const JobSpec& spec) {
+  // A little more than asked for, so that rounding does not cost the save.
+  return spec.checkpoints() ? spec.saveTime + Duration{500} : Duration{0};
+}
+
+namespace {
+
+class Planner {
+ public:
+  explicit Planner(const PlanInput& in) : in_(in) {
+    for (const auto& m : in_.machines) {
+      Room free = m.room, soon = m.room;
+      for (const auto& t : m.tasks) {
+        free -= t.spec->perTask;
+        if (!t.stopping) soon -= t.spec->perTask;
+        used_[t.spec->team] += t.spec->perTask;
+      }
+      free_.push_back(free);
+      soon_.push_back(soon);
+      slots_.push_back(m.slots);
+    }
+    plan_.unplaced.resize(in_.jobs.size());
+  }
+
+  Plan run() {
+    std::vector<std::size_t> order(in_.jobs.size());
+    std::iota(order.begin(), order.end(), 0);
+    std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+      const auto& x = in_.jobs[a];
+      const auto& y = in_.jobs[b];
+      if (x.spec->priority != y.spec->priority) return x.spec->priority > y.spec->priority;
+      if (x.acceptedAtMs != y.acceptedAtMs) return x.acceptedAtMs < y.acceptedAtMs;
+      return x.spec->id < y.spec->id;
+    });
+    for (auto j : order) placeJob(j);
+    return std::move(plan_);
+  }
+
+ private:
+  void placeJob(std::size_t j) {
+    const PlanJob& job = in_.jobs[j];
+    perZone_ = job.perZone;
+    siblings_.clear();
+    for (std::size_t m = 0; m < in_.machines.size(); ++m) {
+      for (const auto& t : in_.machines[m].tasks) {
+        if (t.id.task.job == job.spec->id) ++siblings_[m];
+      }
+    }
+    std::uint32_t placed = 0;
+    for (auto index : job.waiting) {
+      if (!withinLimit(*job.spec)) break;
+      auto machine = bestFree(*job.spec);
+      if (machine) {
+        book(*job.spec, *machine);
+        soon_[*machine] -= job.spec->perTask;
+        emit(j, index, *machine);
+      } else if (!makeRoom(*job.spec)) {
+        break;  // the next task of this job is no smaller
+      }
+      ++placed;
+    }
+    plan_.unplaced[j] = job.waitingCount - placed;
+  }
+
+  void emit(std::size_t j, std::uint32_t index, std::size_t m) {
+    if (!changed_.contains(m) && changed_.size() >= in_.maxMachines) {
+      plan_.deferred = true;
+      return;
+    }
+    changed_.insert(m);
+    plan_.placements.push_back({{in_.jobs[j].spec->id, index}, j, m});
+  }
+
+  void book(const JobSpec& spec, std::size_t m) {
+    free_[m] -= spec.perTask;
+    --slots_[m];
+    used_[spec.team] += spec.perTask;
+    ++perZone_[in_.machines[m].zone];
+    ++siblings_[m];
+  }
+
+  bool withinLimit(const JobSpec& spec) const {
+    auto team = in_.teams.find(spec.team);
+    if (team == in_.teams.end()) return false;
+    auto used = used_.find(spec.team);
+    Room total = spec.perTask + (used == used_.end() ? Room{} : used->second);
+    const Room& limit = team->second.limit;
+    return (limit.cpus <= 0 || total.cpus <= limit.cpus + 1e-6) &&
+           (limit.gpus <= 0 || total.gpus <= limit.gpus + 1e-6);
+  }
+
+  // Whether the task may be on this machine at all, given the job's other tasks.
+  bool allowed(const JobSpec& spec, std::size_t m) const {
+    const auto& machine = in_.machines[m];
+    if (!machine.usable || slots_[m] == 0) return false;
+    if (!spec.allowsType(machine.type) || (machine.spot && !spec.spotAllowed)) return false;
+    if (spec.zone && *spec.zone != machine.zone) return false;
+    auto here = perZone_.find(machine.zone);
+    std::uint32_t inZone = here == perZone_.end() ? 0 : here->second;
+    if (spec.spread && inZone >= spec.zoneLimit()) return false;
+    if (spec.oneZone && inZone == 0) {
+      for (const auto& [zone, count] : perZone_) {
+        if (count > 0) return false;
+      }
+    }
+    return true;
+  }
+
+  double score(const JobSpec& spec, std::size_t m) const {
+    const auto& machine = in_.machines[m];
+    double s = 0;
+    if (machine.images.contains(spec.image)) s += 100;
+    if (spec.spotAllowed && machine.spot) s += 30;
+    auto here = siblings_.find(m);
+    if (spec.kind == JobKind::service && here != siblings_.end()) s -= 200.0 * here->second;
+    // The fullest machine that holds it, so that whole machines fall idle.
+    s += 10 * (machine.room - free_[m]).shareOf(machine.room);
+    if (spec.oneZone && perZone_.empty()) {
+      // All must follow into this zone: the one with the most room.
+      double room = 0;
+      for (std::size_t o = 0; o < in_.machines.size(); ++o) {
+        if (in_.machines[o].zone == machine.zone && in_.machines[o].usable) {
+          room += 1.0 - (machine.room - free_[o]).shareOf(machine.room);
+        }
+      }
+      s += 1000 * room;
+    }
+    return s;
+  }
+
+  std::optional<std::size_t> bestFree(const JobSpec& spec) const {
+    std::optional<std::size_t> best;
+    double bestScore = -std::numeric_limits<double>::infinity();
+    for (std::size_t m = 0; m < in_.machines.size(); ++m) {
+      if (!spec.perTask.fitsIn(free_[m]) || !allowed(spec, m)) continue;
+      double s = score(spec, m);
+      if (s > bestScore) {
+        best = m;
+        bestScore = s;
+      }
+    }
+    return best;
+  }
+
+  static bool exceeds(const Room& used, const Room& guaranteed) {
+    return used.cpus > guaranteed.cpus + 1e-6 || used.gpus > guaranteed.gpus + 1e-6;
+  }
+
+  bool withinGuarantee(const JobSpec& spec) const {
+    auto team = in_.teams.find(spec.team);
+    if (team == in_.teams.end()) return false;
+    const Room& g = team->second.guaranteed;
+    if (g.cpus <= 0 && g.gpus <= 0) return false;
+    auto used = used_.find(spec.team);
+    return !exceeds(spec.perTask + (used == used_.end() ? Room{} : used->second), g);
+  }
+
+  // The two cases in which a task may be stopped for another's sake.
+  bool mayStopFor(const JobSpec& spec, bool guaranteed, const PlanTask& victim) const {
+    if (victim.stopping) return false;
+    if (victim.spec->priority < spec.priority) return true;
+    if (!guaranteed || victim.spec->team == spec.team) return false;
+    auto team = in_.teams.find(victim.spec->team);
+    auto used = used_.find(victim.spec->team);
+    if (used == used_.end()) return false;
+    return exceeds(used->second, team == in_.teams.end() ? Room{} : team->second.guaranteed);
+  }
+
+  // Takes room that is about to be free, or stops less important work for it. The task is placed
+  // by a later plan, once the room is free.
+  bool makeRoom(const JobSpec& spec) {
+    for (std::size_t m = 0; m < in_.machines.size(); ++m) {
+      if (allowed(spec, m) && spec.perTask.fitsIn(soon_[m])) {
+        soon_[m] -= spec.perTask;
+        book(spec, m);
+        return true;
+      }
+    }
+    bool guaranteed = withinGuarantee(spec);
+    std::optional<std::size_t> best;
+    std::vector<const PlanTask*> bestVictims;
+    double bestCost = std::numeric_limits<double>::infinity();
+    for (std::size_t m = 0; m < in_.machines.size(); ++m) {
+      if (!allowed(spec, m)) continue;
+      std::vector<const PlanTask*> candidates;
+      for (const auto& t : in_.machines[m].tasks) {
+        if (!stopped_.contains(t.id) && mayStopFor(spec, guaranteed, t)) candidates.push_back(&t);
+      }
+      // The least important and, among equals, the youngest loses the least.
+      std::sort(candidates.begin(), candidates.end(), [](const PlanTask* a, const PlanTask* b) {
+        if (a->spec->priority != b->spec->priority) return a->spec->priority < b->spec->priority;
+        return a->age < b->age;
+      });
+      Room room = soon_[m];
+      std::vector<const PlanTask*> victims;
+      double cost = in_.machines[m].images.contains(spec.image) ? 0 : 60;
+      auto here = siblings_.find(m);
+      if (spec.kind == JobKind::service && here != siblings_.end()) cost += 1000;
+      for (const auto* v : candidates) {
+        if (spec.perTask.fitsIn(room)) break;
+        room += v->spec->perTask;
+        victims.push_back(v);
+        cost += v->spec->checkpoints() ? 10 + toSeconds(v->spec->saveTime)
+                                       : 10 + std::min(300.0, toSeconds(v->age));
+      }
+      if (!spec.perTask.fitsIn(room) || cost >= bestCost) continue;
+      best = m;
+      bestVictims = victims;
+      bestCost = cost;
+    }
+    if (!best) return false;
+    for (const auto* v : bestVictims) {
+      plan_.stops.push_back({v->id, in_.machines[*best].id, graceFor(*v->spec)});
+      stopped_.insert(v->id);
+      soon_[*best] += v->spec->perTask;
+    }
+    soon_[*best] -= spec.perTask;
+    book(spec, *best);
+    return true;
+  }
+
+  const PlanInput& in_;
+  Plan plan_;
+  std::vector<Room> free_;  // now, less what this plan books
+  std::vector<Room> soon_;  // once everything that is stopping has gone
+  std::vector<std::size_t> slots_;
+  std::map<TeamId, Room> used_;
+  std::set<std::size_t> changed_;
+  std::set<AttemptId> stopped_;
+  // Of the job being placed:
+  std::map<ZoneId, std::uint32_t> perZone_;
+  std::map<std::size_t, std::uint32_t> siblings_;
+};
+
+}  // namespace
+
+Plan makePlan(const PlanInput& input) { return Planner(input).run(); }
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/placement/runner.cpp
@@ -0,0 +1,46 @@
+#include "placement/runner.hpp"
+
+#include "base/log.hpp"
+
+namespace kestrelhoist {
+
+ThreadPlanRunner::ThreadPlanRunner(std::function<void(std::function<void()>)> post)
+    : post_(std::move(post)), thread_([this] { loop(); }) {}
+
+ThreadPlanRunner::~ThreadPlanRunner() {
+  inbox_.with([](Inbox& inbox) { inbox.stop = true; });
+  wake_.release();
+  thread_.join();
+}
+
+void ThreadPlanRunner::run(PlanInput input, std::function<void(PlanInput, Plan)> done) {
+  inbox_.with([&](Inbox& inbox) { inbox.work.push_back({std::move(input), std::move(done)}); });
+  wake_.release();
+}
+
+void ThreadPlanRunner::loop() {
+  for (;;) {
+    wake_.acquire();
+    std::vector<Work> work;
+    bool stop = inbox_.with([&](Inbox& inbox) {
+      work.swap(inbox.work);
+      return inbox.stop;
+    });
+    if (stop) return;
+    for (auto& w : work) {
+      Plan plan;
+      try {
+        plan = makePlan(w.input);
+      } catch (const std::exception& e) {
+        // An empty plan; the event loop goes on and asks again.
+        spdlog::error("planner: exception: {}", e.what());
+        plan.unplaced.assign(w.input.jobs.size(), 0);
+      }
+      post_([w = std::move(w), plan = std::move(plan)]() mutable {
+        w.done(std::move(w.input), std::move(plan));
+      });
+    }
+  }
+}
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/store/client.cpp
@@ -0,0 +1,170 @@
+#include "store/client.hpp"
+
+#include "base/log.hpp"
+
+namespace kestrelhoist {
+namespace {
+
+Json transactionBody(const Transaction& t) {
+  Json when = Json::array();
+  for (const auto& c : t.conditions) when.push_back({{"path", c.key}, {"stamp", c.stamp.value}});
+  Json writes = Json::array();
+  for (const auto& w : t.writes) {
+    if (!w.value) {
+      writes.push_back({{"drop", w.key}});
+      continue;
+    }
+    Json entry = {{"set", w.key}, {"data", *w.value}};
+    if (w.lease) entry["ticket"] = w.lease->value;
+    writes.push_back(std::move(entry));
+  }
+  return {{"when", std::move(when)}, {"writes", std::move(writes)}};
+}
+
+// A malformed answer counts as none.
+std::optional<Json> bodyOf(const std::optional<Response>& r) {
+  if (!r) return std::nullopt;
+  auto body = decodeBody(r->body);
+  if (!body || !body->is_object()) return std::nullopt;
+  return body;
+}
+
+std::optional<Change> changeFrom(Json& row, const char* keyName) {
+  Change c;
+  auto stamp = countField(row, "stamp");
+  auto key = textField(row, keyName);
+  if (!stamp || !key) return std::nullopt;
+  c.key = *key;
+  c.stamp = Revision{*stamp};
+  auto data = row.find("data");
+  if (data == row.end()) return std::nullopt;
+  c.value = std::move(*data);
+  return c;
+}
+
+}  // namespace
+
+StoreClient::StoreClient(Runtime& runtime, HttpClient& http, std::string address,
+                         double requestsPerS)
+    : runtime_(runtime),
+      http_(http),
+      address_(std::move(address)),
+      budget_(requestsPerS, requestsPerS) {}
+
+void StoreClient::commit(const Transaction& t, Duration timeout,
+                         std::function<void(CommitResult)> done) {
+  budget_.take(runtime_.now(), 1);
+  http_.send(address_, {"POST", "/commit", encodeBody(transactionBody(t))}, timeout,
+             [done = std::move(done)](std::optional<Response> r) {
+               if (!r) return done({Outcome::unknown, {}});
+               auto body = bodyOf(r);
+               auto epoch = body ? countField(*body, "epoch") : std::nullopt;
+               if (r->status == 200) {
+                 // A 200 that can't be read was still carried out, but at what revision?
+                 if (!epoch) return done({Outcome::unknown, {}});
+                 return done({Outcome::applied, Revision{*epoch}});
+               }
+               if (r->status == 409) return done({Outcome::conflict, Revision{epoch.value_or(0)}});
+               if (r->status == 429 || r->status == 503) return done({Outcome::refused, {}});
+               if (r->status == 400) {
+                 auto error = body ? textField(*body, "error") : std::nullopt;
+                 if (error == "no such lease") return done({Outcome::noLease, {}});
+                 spdlog::error("state service rejected a transaction: {}", error.value_or("?"));
+                 return done({Outcome::rejected, {}});
+               }
+               done({Outcome::unknown, {}});
+             });
+}
+
+void StoreClient::changes(const std::string& prefix, Revision since, Duration timeout,
+                          std::function<void(ChangesResult)> done) {
+  budget_.take(runtime_.now(), 1);
+  std::string path = "/changes?prefix=" + prefix + "&since=" + std::to_string(since.value) +
+                     "&wait_ms=0";
+  http_.send(address_, {"GET", path, ""}, timeout,
+             [done = std::move(done)](std::optional<Response> r) {
+               ChangesResult result;
+               if (r && r->status == 410) {
+                 result.kind = ChangesResult::Kind::tooOld;
+                 return done(std::move(result));
+               }
+               auto body = r && r->status == 200 ? bodyOf(r) : std::nullopt;
+               if (!body) return done(std::move(result));
+               auto epoch = countField(*body, "epoch");
+               auto events = body->find("events");
+               if (!epoch || events == body->end() || !events->is_array()) {
+                 return done(std::move(result));
+               }
+               for (auto& e : *events) {
+                 if (auto dropped = textField(e, "drop")) {
+                   auto stamp = countField(e, "stamp");
+                   if (!stamp) return done(ChangesResult{});
+                   result.changes.push_back({*dropped, std::nullopt, Revision{*stamp}});
+                 } else if (auto c = changeFrom(e, "set")) {
+                   result.changes.push_back(std::move(*c));
+                 } else {
+                   return done(ChangesResult{});
+                 }
+               }
+               result.kind = ChangesResult::Kind::ok;
+               result.epoch = Revision{*epoch};
+               done(std::move(result));
+             });
+}
+
+void StoreClient::list(const std::string& prefix, const std::string& since, Duration timeout,
+                       std::function<void(ListResult)> done) {
+  budget_.take(runtime_.now(), 1);
+  std::string path = "/store?prefix=" + prefix + "&page=200";
+  if (!since.empty()) path += "&since=" + since;
+  http_.send(address_, {"GET", path, ""}, timeout,
+             [done = std::move(done)](std::optional<Response> r) {
+               ListResult result;
+               auto body = r && r->status == 200 ? bodyOf(r) : std::nullopt;
+               if (!body) return done(std::move(result));
+               auto epoch = countField(*body, "epoch");
+               auto rows = body->find("rows");
+               if (!epoch || rows == body->end() || !rows->is_array()) {
+                 return done(std::move(result));
+               }
+               for (auto& row : *rows) {
+                 auto c = changeFrom(row, "path");
+                 if (!c) return done(ListResult{});
+                 result.rows.push_back(std::move(*c));
+               }
+               result.ok = true;
+               result.more = boolField(*body, "truncated").value_or(false);
+               result.epoch = Revision{*epoch};
+               done(std::move(result));
+             });
+}
+
+void StoreClient::grantLease(Duration life, Duration timeout,
+                             std::function<void(std::optional<LeaseId>)> done) {
+  budget_.take(runtime_.now(), 1);
+  http_.send(address_, {"POST", "/leases", encodeBody({{"life_ms", life.count()}})}, timeout,
+             [done = std::move(done)](std::optional<Response> r) {
+               auto body = r && r->status == 200 ? bodyOf(r) : std::nullopt;
+               auto id = body ? countField(*body, "ticket") : std::nullopt;
+               done(id ? std::optional(LeaseId{*id}) : std::nullopt);
+             });
+}
+
+void StoreClient::renewLease(LeaseId id, Duration timeout,
+                             std::function<void(LeaseOutcome)> done) {
+  budget_.take(runtime_.now(), 1);
+  http_.send(address_, {"POST", "/leases/" + std::to_string(id.value) + "/renew", encodeBody(Json::object())},
+             timeout, [done = std::move(done)](std::optional<Response> r) {
+               if (r && r->status == 200) return done(LeaseOutcome::ok);
+               if (r && r->status == 404) return done(LeaseOutcome::gone);
+               done(LeaseOutcome::failed);
+             });
+}
+
+void StoreClient::dropLease(LeaseId id) {
+  budget_.take(runtime_.now(), 1);
+  http_.send(address_, {"DELETE", "/leases/" + std::to_string(id.value), ""}, Duration{2000},
+             [](const std::optional<Response>&) {});
+}
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/store/client.hpp
@@ -0,0 +1,88 @@
+// Typed client of the state service.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/rate.hpp"
+#include "base/runtime.hpp"
+
+namespace kestrelhoist {
+
+struct Condition {
+  std::string key;
+  Revision stamp;  // 0: the key must not exist
+};
+
+struct Write {
+  std::string key;
+  std::optional<Json> value;  // empty: drop
+  std::optional<LeaseId> lease;
+};
+
+struct Transaction {
+  std::vector<Condition> conditions;
+  std::vector<Write> writes;
+};
+
+enum class Outcome {
+  applied,   // 200
+  conflict,  // 409: nothing was changed
+  refused,   // 429, 503: not carried out
+  noLease,   // 400 no such lease: not carried out
+  rejected,  // any other definite refusal: a fault of ours
+  unknown    // no answer: carried out, or not, or later
+};
+
+struct CommitResult {
+  Outcome outcome{};
+  Revision epoch;
+};
+
+struct Change {
+  std::string key;
+  std::optional<Json> value;  // empty: dropped
+  Revision stamp;
+};
+
+struct ChangesResult {
+  enum class Kind { ok, tooOld, failed } kind = Kind::failed;
+  Revision epoch;
+  std::vector<Change> changes;
+};
+
+struct ListResult {
+  bool ok = false;
+  bool more = false;
+  Revision epoch;
+  std::vector<Change> rows;
+};
+
+enum class LeaseOutcome { ok, gone, failed };
+
+class StoreClient {
+ public:
+  StoreClient(Runtime& runtime, HttpClient& http, std::string address, double requestsPerS);
+
+  void commit(const Transaction& t, Duration timeout, std::function<void(CommitResult)> done);
+  void changes(const std::string& prefix, Revision since, Duration timeout,
+               std::function<void(ChangesResult)> done);
+  void list(const std::string& prefix, const std::string& since, Duration timeout,
+            std::function<void(ListResult)> done);
+  void grantLease(Duration life, Duration timeout, std::function<void(std::optional<LeaseId>)> done);
+  void renewLease(LeaseId id, Duration timeout, std::function<void(LeaseOutcome)> done);
+  void dropLease(LeaseId id);
+
+  // Whether a request may be sent now within this node's share of the rate.
+  bool mayAsk() { return budget_.take(runtime_.now(), 1); }
+
+ private:
+  Runtime& runtime_;
+  HttpClient& http_;
+  std::string address_;
+  RateBudget budget_;
+};
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/store/feed.cpp
@@ -0,0 +1,101 @@
+#include "store/feed.hpp"
+
+#include "base/log.hpp"
+
+namespace kestrelhoist {
+
+Feed::Feed(Runtime& runtime, StoreClient& store, Replica& replica, Settings settings)
+    : runtime_(runtime), store_(store), replica_(replica), settings_(settings) {}
+
+void Feed::start() {
+  lastContact_ = runtime_.now() - Duration{1000000};
+  load("", true);
+  poll();
+}
+
+void Feed::load(const std::string& since, bool first) {
+  Instant sentAt = runtime_.now();
+  store_.list(keys::kRoot, since, Duration{2000}, [this, since, first, sentAt](ListResult r) {
+    if (!r.ok) {
+      ++failures_;
+      runtime_.after(Duration{300}, [this, since, first] { load(since, first); });
+      return;
+    }
+    failures_ = 0;
+    if (first) loadEpoch_ = r.epoch;
+    for (const auto& row : r.rows) replica_.apply(row);
+    if (r.more && !r.rows.empty()) {
+      load(r.rows.back().key, false);
+      return;
+    }
+    // Later pages may be newer than the first; changes since the first page's epoch are read
+    // again, and the stamps of the keys sort out what is already here.
+    replica_.advance(loadEpoch_);
+    loaded_ = true;
+    lastContact_ = sentAt;
+    spdlog::info("records loaded up to revision {}: {} jobs, {} machines", loadEpoch_.value,
+                 replica_.jobs().size(), replica_.machines().size());
+    schedule();
+  });
+}
+
+void Feed::poll() {
+  runtime_.after(std::min(interval_, Duration{250}), [this] { poll(); });
+  if (loaded_ && !reading_ && runtime_.now() - lastSent_ >= interval_ - Duration{10}) read();
+}
+
+void Feed::fresh(std::function<void(bool)> done) {
+  if (!loaded_) return done(false);
+  waiting_.push_back(std::move(done));
+  schedule();
+}
+
+void Feed::schedule() {
+  if (reading_ || scheduled_) return;
+  Duration wait = settings_.minGap - (runtime_.now() - lastSent_);
+  if (wait.count() <= 0) {
+    read();
+    return;
+  }
+  scheduled_ = true;
+  runtime_.after(wait, [this] {
+    scheduled_ = false;
+    if (!reading_ && !waiting_.empty()) read();
+  });
+}
+
+void Feed::read() {
+  if (!loaded_) return;
+  reading_ = true;
+  lastSent_ = runtime_.now();
+  served_ = std::exchange(waiting_, {});
+  store_.changes(keys::kRoot, replica_.cursor(), settings_.timeout,
+                 [this, sentAt = lastSent_](ChangesResult r) { onRead(sentAt, std::move(r)); });
+}
+
+void Feed::onRead(Instant sentAt, ChangesResult r) {
+  reading_ = false;
+  bool ok = r.kind == ChangesResult::Kind::ok;
+  if (ok) {
+    if (failures_ > 0) spdlog::info("state service answers again after {} failures", failures_);
+    failures_ = 0;
+    for (const auto& c : r.changes) replica_.apply(c);
+    replica_.advance(r.epoch);
+    lastContact_ = sentAt;
+  } else if (r.kind == ChangesResult::Kind::tooOld) {
+    spdlog::info("changes since revision {} are gone: reading all records again",
+                 replica_.cursor().value);
+    loaded_ = false;
+    if (onReload) onReload();
+    replica_.clear();
+    load("", true);
+  } else if (failures_++ == 0) {
+    spdlog::info("state service gave no usable answer to a read");
+  }
+  auto served = std::exchange(served_, {});
+  for (auto& f : served) f(ok);
+  if (ok && !r.changes.empty() && onChanged) onChanged();
+  if (!waiting_.empty()) schedule();
+}
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/store/feed.hpp
@@ -0,0 +1,61 @@
+// Keeps the replica fresh: one read of changes at a time, which serves everyone who waits.
+#pragma once
+
+#include <functional>
+#include <vector>
+
+#include "store/replica.hpp"
+
+namespace kestrelhoist {
+
+class Feed {
+ public:
+  struct Settings {
+    Duration minGap{50};      // between the starts of two reads
+    Duration timeout{1000};   // of one read
+    Duration staleAfter{2000};  // without a successful read the store counts as out of reach
+  };
+  Feed(Runtime& runtime, StoreClient& store, Replica& replica, Settings settings);
+
+  void start();
+  // Calls back true after a read that was sent after this call has been applied, false if that
+  // read failed.
+  void fresh(std::function<void(bool)> done);
+  // Reads at least this often.
+  void setInterval(Duration d) { interval_ = d; }
+
+  bool loaded() const { return loaded_; }
+  // When the last successful read was sent.
+  Instant lastContact() const { return lastContact_; }
+  Duration contactAge() const { return runtime_.now() - lastContact_; }
+  bool reachable() const { return loaded_ && failures_ == 0 && contactAge() < settings_.staleAfter; }
+  bool lastReadFailed() const { return failures_ > 0; }
+
+  // Called after changes were applied, and when the copy had to be thrown away.
+  std::function<void()> onChanged;
+  std::function<void()> onReload;
+
+ private:
+  void load(const std::string& since, bool first);
+  void poll();
+  void read();
+  void schedule();
+  void onRead(Instant sentAt, ChangesResult result);
+
+  Runtime& runtime_;
+  StoreClient& store_;
+  Replica& replica_;
+  Settings settings_;
+  Duration interval_{1000};
+  bool loaded_ = false;
+  bool reading_ = false;
+  bool scheduled_ = false;
+  int failures_ = 0;
+  Instant lastContact_{};
+  Instant lastSent_{};
+  Revision loadEpoch_;
+  std::vector<std::function<void(bool)>> waiting_;  // for the next read
+  std::vector<std::function<void(bool)>> served_;   // by the read in flight
+};
+
+}  // namespace kestrelhoist
