--- a/src/app/leader.cpp
+++ b/src/app/leader.cpp
@@ -141,7 +141,8 @@
     j.acceptedAtMs = job->record.acceptedAtMs;
     j.waitingCount = static_cast<std::uint32_t>(count);
     j.stamp = job->stamp;
-    for (std::uint32_t i = 0; i < job->tasks && j.waiting.size() < kWaitingPerJob; ++i) {
+    std::size_t most = j.spec->kind == JobKind::gang ? kMaxTasks : kWaitingPerJob;
+    for (std::uint32_t i = 0; i < job->tasks && j.waiting.size() < most; ++i) {
       if (i % TaskBits::kPerChunk == 0) {
         auto chunk = job->finished.find(i / TaskBits::kPerChunk);
         if (chunk != job->finished.end() && chunk->second.count() == TaskBits::kPerChunk) {
--- a/src/app/leader_commits.cpp
+++ b/src/app/leader_commits.cpp
@@ -107,7 +107,7 @@
       }
       const auto* job = s_.replica.job(attempt.task.job);
       if (gone == Gone::done && job && job->active() && job->record.spec &&
-          job->record.spec->kind == JobKind::array && !job->isFinished(attempt.task.index)) {
+          job->record.spec->kind != JobKind::service && !job->isFinished(attempt.task.index)) {
         std::uint32_t chunk = attempt.task.index / TaskBits::kPerChunk;
         std::string key = keys::progress(attempt.task.job, chunk);
         std::size_t more = (progress.contains(key) ? 0 : 1) +
--- a/src/fleet/report.cpp
+++ b/src/fleet/report.cpp
@@ -28,6 +28,7 @@
   if (word == "halted") return EndCause::stopped;
   if (word == "no_room") return EndCause::noRoom;
   if (word == "in_use") return EndCause::busy;
+  if (word == "mates_gone" || word == "alone") return EndCause::gang;
   if (word == "unknown") return EndCause::unknown;
   return EndCause::error;
 }
--- a/src/fleet/report.hpp
+++ b/src/fleet/report.hpp
@@ -10,7 +10,8 @@
 namespace kestrelhoist {
 
 enum class TaskState { fetching, running, saving, ended };
-enum class EndCause { done, stopped, error, noRoom, busy, unknown };
+// gang: the others of its gang did not come or went away
+enum class EndCause { done, stopped, error, noRoom, busy, unknown, gang };
 
 struct ReportedTask {
   AttemptId id;
--- a/src/jobs/service.cpp
+++ b/src/jobs/service.cpp
@@ -102,7 +102,7 @@
            std::find(type.zones.begin(), type.zones.end(), *spec.zone) != type.zones.end();
   }
   if (!fits) return Invalid{"no allowed machine type can hold a task"};
-  double tasks = spec.kind == JobKind::service ? spec.tasks : 1;
+  double tasks = spec.kind == JobKind::array ? 1 : spec.tasks;
   const Room& limit = team->second.limit;
   if ((limit.cpus > 0 && spec.perTask.cpus * tasks > limit.cpus + 1e-6) ||
       (limit.gpus > 0 && spec.perTask.gpus * tasks > limit.gpus + 1e-6)) {
--- a/src/jobs/spec.cpp
+++ b/src/jobs/spec.cpp
@@ -40,6 +40,14 @@
   std::string why_;
 };
 
+const char* kindWord(JobKind kind) {
+  switch (kind) {
+    case JobKind::service: return "service";
+    case JobKind::gang: return "gang";
+    default: return "array";
+  }
+}
+
 std::optional<Priority> priorityFrom(const std::string& word) {
   if (word == "production") return Priority::production;
   if (word == "high") return Priority::high;
@@ -72,6 +80,8 @@
     s.kind = JobKind::array;
   } else if (shape == "daemon") {
     s.kind = JobKind::service;
+  } else if (shape == "ensemble") {
+    s.kind = JobKind::gang;
   } else {
     f.fault("shape");
   }
@@ -118,7 +128,7 @@
 Json jobSpecToJson(const JobSpec& s) {
   Json v = {{"class", s.jobClass},
             {"team", s.team.value},
-            {"kind", s.kind == JobKind::service ? "service" : "array"},
+            {"kind", kindWord(s.kind)},
             {"priority", static_cast<int>(s.priority)},
             {"tasks", s.tasks},
             {"cpus", s.perTask.cpus},
@@ -156,7 +166,9 @@
   }
   s.jobClass = *jobClass;
   s.team = TeamId{*team};
-  s.kind = *kind == "service" ? JobKind::service : JobKind::array;
+  s.kind = *kind == "service" ? JobKind::service
+           : *kind == "gang"  ? JobKind::gang
+                              : JobKind::array;
   s.priority = static_cast<Priority>(*priority);
   s.tasks = static_cast<std::uint32_t>(*tasks);
   s.perTask = {numberField(v, "cpus").value_or(0), numberField(v, "gpus").value_or(0),
--- a/src/jobs/spec.hpp
+++ b/src/jobs/spec.hpp
@@ -12,7 +12,8 @@
 
 namespace kestrelhoist {
 
-enum class JobKind { array, service };
+// A gang is an array whose tasks only run all together.
+enum class JobKind { array, service, gang };
 enum class Priority { low, normal, high, production };  // ordered
 enum class JobPhase { active, done, cancelled };
 
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -21,13 +21,13 @@
       for (const auto& t : m.tasks) {
         free -= t.spec->perTask;
         if (!t.stopping) soon -= t.spec->perTask;
-        used_[t.spec->team] += t.spec->perTask;
+        state_.used[t.spec->team] += t.spec->perTask;
       }
-      free_.push_back(free);
-      soon_.push_back(soon);
-      slots_.push_back(m.slots);
+      state_.free.push_back(free);
+      state_.soon.push_back(soon);
+      state_.slots.push_back(m.slots);
     }
-    plan_.unplaced.resize(in_.jobs.size());
+    state_.plan.unplaced.resize(in_.jobs.size());
   }
 
   Plan run() {
@@ -41,7 +41,7 @@
       return x.spec->id < y.spec->id;
     });
     for (auto j : order) placeJob(j);
-    return std::move(plan_);
+    return std::move(state_.plan);
   }
 
  private:
@@ -54,35 +54,48 @@
         if (t.id.task.job == job.spec->id) ++siblings_[m];
       }
     }
+    // A gang only runs whole: if it does not fit, nothing of it is placed.
+    std::optional<State> before;
+    if (job.spec->kind == JobKind::gang) before = state_;
+    std::uint32_t placed = placeTasks(j);
+    if (before && placed < job.waitingCount) {
+      state_ = std::move(*before);
+      placed = 0;
+    }
+    state_.plan.unplaced[j] = job.waitingCount - placed;
+  }
+
+  std::uint32_t placeTasks(std::size_t j) {
+    const PlanJob& job = in_.jobs[j];
     std::uint32_t placed = 0;
     for (auto index : job.waiting) {
       if (!withinLimit(*job.spec)) break;
       auto machine = bestFree(*job.spec);
       if (machine) {
         book(*job.spec, *machine);
-        soon_[*machine] -= job.spec->perTask;
+        state_.soon[*machine] -= job.spec->perTask;
         emit(j, index, *machine);
       } else if (!makeRoom(*job.spec)) {
         break;  // the next task of this job is no smaller
       }
       ++placed;
     }
-    plan_.unplaced[j] = job.waitingCount - placed;
+    return placed;
   }
 
   void emit(std::size_t j, std::uint32_t index, std::size_t m) {
-    if (!changed_.contains(m) && changed_.size() >= in_.maxMachines) {
-      plan_.deferred = true;
+    if (!state_.changed.contains(m) && state_.changed.size() >= in_.maxMachines) {
+      state_.plan.deferred = true;
       return;
     }
-    changed_.insert(m);
-    plan_.placements.push_back({{in_.jobs[j].spec->id, index}, j, m});
+    state_.changed.insert(m);
+    state_.plan.placements.push_back({{in_.jobs[j].spec->id, index}, j, m});
   }
 
   void book(const JobSpec& spec, std::size_t m) {
-    free_[m] -= spec.perTask;
-    --slots_[m];
-    used_[spec.team] += spec.perTask;
+    state_.free[m] -= spec.perTask;
+    --state_.slots[m];
+    state_.used[spec.team] += spec.perTask;
     ++perZone_[in_.machines[m].zone];
     ++siblings_[m];
   }
@@ -90,8 +103,8 @@
   bool withinLimit(const JobSpec& spec) const {
     auto team = in_.teams.find(spec.team);
     if (team == in_.teams.end()) return false;
-    auto used = used_.find(spec.team);
-    Room total = spec.perTask + (used == used_.end() ? Room{} : used->second);
+    auto used = state_.used.find(spec.team);
+    Room total = spec.perTask + (used == state_.used.end() ? Room{} : used->second);
     const Room& limit = team->second.limit;
     return (limit.cpus <= 0 || total.cpus <= limit.cpus + 1e-6) &&
            (limit.gpus <= 0 || total.gpus <= limit.gpus + 1e-6);
@@ -100,7 +113,7 @@
   // Whether the task may be on this machine at all, given the job's other tasks.
   bool allowed(const JobSpec& spec, std::size_t m) const {
     const auto& machine = in_.machines[m];
-    if (!machine.usable || slots_[m] == 0) return false;
+    if (!machine.usable || state_.slots[m] == 0) return false;
     if (!spec.allowsType(machine.type) || (machine.spot && !spec.spotAllowed)) return false;
     if (spec.zone && *spec.zone != machine.zone) return false;
     auto here = perZone_.find(machine.zone);
@@ -122,13 +135,13 @@
     auto here = siblings_.find(m);
     if (spec.kind == JobKind::service && here != siblings_.end()) s -= 200.0 * here->second;
     // The fullest machine that holds it, so that whole machines fall idle.
-    s += 10 * (machine.room - free_[m]).shareOf(machine.room);
+    s += 10 * (machine.room - state_.free[m]).shareOf(machine.room);
     if (spec.oneZone && perZone_.empty()) {
       // All must follow into this zone: the one with the most room.
       double room = 0;
       for (std::size_t o = 0; o < in_.machines.size(); ++o) {
         if (in_.machines[o].zone == machine.zone && in_.machines[o].usable) {
-          room += 1.0 - (machine.room - free_[o]).shareOf(machine.room);
+          room += 1.0 - (machine.room - state_.free[o]).shareOf(machine.room);
         }
       }
       s += 1000 * room;
@@ -140,7 +153,7 @@
     std::optional<std::size_t> best;
     double bestScore = -std::numeric_limits<double>::infinity();
     for (std::size_t m = 0; m < in_.machines.size(); ++m) {
-      if (!spec.perTask.fitsIn(free_[m]) || !allowed(spec, m)) continue;
+      if (!spec.perTask.fitsIn(state_.free[m]) || !allowed(spec, m)) continue;
       double s = score(spec, m);
       if (s > bestScore) {
         best = m;
@@ -159,8 +172,8 @@
     if (team == in_.teams.end()) return false;
     const Room& g = team->second.guaranteed;
     if (g.cpus <= 0 && g.gpus <= 0) return false;
-    auto used = used_.find(spec.team);
-    return !exceeds(spec.perTask + (used == used_.end() ? Room{} : used->second), g);
+    auto used = state_.used.find(spec.team);
+    return !exceeds(spec.perTask + (used == state_.used.end() ? Room{} : used->second), g);
   }
 
   // The two cases in which a task may be stopped for another's sake.
@@ -169,8 +182,8 @@
     if (victim.spec->priority < spec.priority) return true;
     if (!guaranteed || victim.spec->team == spec.team) return false;
     auto team = in_.teams.find(victim.spec->team);
-    auto used = used_.find(victim.spec->team);
-    if (used == used_.end()) return false;
+    auto used = state_.used.find(victim.spec->team);
+    if (used == state_.used.end()) return false;
     return exceeds(used->second, team == in_.teams.end() ? Room{} : team->second.guaranteed);
   }
 
@@ -178,8 +191,8 @@
   // by a later plan, once the room is free.
   bool makeRoom(const JobSpec& spec) {
     for (std::size_t m = 0; m < in_.machines.size(); ++m) {
-      if (allowed(spec, m) && spec.perTask.fitsIn(soon_[m])) {
-        soon_[m] -= spec.perTask;
+      if (allowed(spec, m) && spec.perTask.fitsIn(state_.soon[m])) {
+        state_.soon[m] -= spec.perTask;
         book(spec, m);
         return true;
       }
@@ -192,14 +205,14 @@
       if (!allowed(spec, m)) continue;
       std::vector<const PlanTask*> candidates;
       for (const auto& t : in_.machines[m].tasks) {
-        if (!stopped_.contains(t.id) && mayStopFor(spec, guaranteed, t)) candidates.push_back(&t);
+        if (!state_.stopped.contains(t.id) && mayStopFor(spec, guaranteed, t)) candidates.push_back(&t);
       }
       // The least important and, among equals, the youngest loses the least.
       std::sort(candidates.begin(), candidates.end(), [](const PlanTask* a, const PlanTask* b) {
         if (a->spec->priority != b->spec->priority) return a->spec->priority < b->spec->priority;
         return a->age < b->age;
       });
-      Room room = soon_[m];
+      Room room = state_.soon[m];
       std::vector<const PlanTask*> victims;
       double cost = in_.machines[m].images.contains(spec.image) ? 0 : 60;
       auto here = siblings_.find(m);
@@ -218,23 +231,28 @@
     }
     if (!best) return false;
     for (const auto* v : bestVictims) {
-      plan_.stops.push_back({v->id, in_.machines[*best].id, graceFor(*v->spec)});
-      stopped_.insert(v->id);
-      soon_[*best] += v->spec->perTask;
+      state_.plan.stops.push_back({v->id, in_.machines[*best].id, graceFor(*v->spec)});
+      state_.stopped.insert(v->id);
+      state_.soon[*best] += v->spec->perTask;
     }
-    soon_[*best] -= spec.perTask;
+    state_.soon[*best] -= spec.perTask;
     book(spec, *best);
     return true;
   }
 
+  // What has been decided so far; copied to try out a gang.
+  struct State {
+    Plan plan;
+    std::vector<Room> free;  // now, less what this plan books
+    std::vector<Room> soon;  // once everything that is stopping has gone
+    std::vector<std::size_t> slots;
+    std::map<TeamId, Room> used;
+    std::set<std::size_t> changed;
+    std::set<AttemptId> stopped;
+  };
+
   const PlanInput& in_;
-  Plan plan_;
-  std::vector<Room> free_;  // now, less what this plan books
-  std::vector<Room> soon_;  // once everything that is stopping has gone
-  std::vector<std::size_t> slots_;
-  std::map<TeamId, Room> used_;
-  std::set<std::size_t> changed_;
-  std::set<AttemptId> stopped_;
+  State state_;
   // Of the job being placed:
   std::map<ZoneId, std::uint32_t> perZone_;
   std::map<std::size_t, std::uint32_t> siblings_;
