--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -187,7 +187,7 @@
                  std::any_of(replica_.machines().begin(), replica_.machines().end(),
                              [](const auto& m) { return !m.second.tasks.empty(); });
   Duration unheard = now - std::max(lastWorker_, leader_->fleet().lastHeardAny());
-  Duration patience = platform_.reportEvery * 5 / 4 + Duration{1500};
+  Duration patience = platform_.reportEvery * 3 / 2 + Duration{2000};
   if (!expects || unheard < patience) return;
   bool peersHear = false, anyPeer = platform_.peers.empty();
   for (const auto& peer : platform_.peers) {
--- /dev/null
+++ b/tests/scenario_test.cpp
@@ -0,0 +1,324 @@
+// The one runner of tests/scenarios/*.txt (the language: docs/testing.md).
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "base/log.hpp"
+#include "sim/world.hpp"
+
+namespace kestrelhoist::sim {
+namespace {
+
+struct Line {
+  std::string file;
+  int number{};
+  std::vector<std::string> words;
+  std::string where() const { return file + ":" + std::to_string(number); }
+};
+
+// "key value" pairs after `from`.
+std::map<std::string, std::string> options(const Line& line, std::size_t from) {
+  std::map<std::string, std::string> out;
+  for (std::size_t i = from; i + 1 < line.words.size(); i += 2) out[line.words[i]] = line.words[i + 1];
+  return out;
+}
+
+class Scenario {
+ public:
+  Scenario(std::vector<Line> lines, std::uint64_t seed) : lines_(std::move(lines)) {
+    settings_.seed = seed;
+  }
+
+  void run() {
+    for (const auto& line : lines_) {
+      SCOPED_TRACE(line.where());
+      if (line.words[0] == "seeds") continue;
+      if (line.words[0] == "world") {
+        configure(line);
+        continue;
+      }
+      if (!world_) world_ = std::make_unique<World>(settings_);
+      step(line);
+      ASSERT_TRUE(world_->broken.empty()) << line.where() << ": " << world_->broken.front();
+    }
+  }
+
+ private:
+  void configure(const Line& line) {
+    for (const auto& [key, value] : options(line, 1)) {
+      double v = std::stod(value);
+      if (key == "nodes") settings_.nodes = static_cast<int>(v);
+      else if (key == "ordinary") settings_.ordinaryPerZone = static_cast<int>(v);
+      else if (key == "spot") settings_.spotPerZone = static_cast<int>(v);
+      else if (key == "boot") settings_.bootS = v;
+      else if (key == "bootfail") settings_.bootFail = v;
+      else if (key == "gpusmax") settings_.gpusMax = v;
+      else if (key == "report") settings_.reportS = v;
+      else if (key == "lease") settings_.leaseS = v;
+      else if (key == "cancel") settings_.cancelS = v;
+      else FAIL() << "unknown setting " << key;
+    }
+  }
+
+  CutMode mode(const std::string& word) {
+    return word == "hold" ? CutMode::hold : word == "reset" ? CutMode::reset : CutMode::drop;
+  }
+
+  std::set<std::string> group(const std::string& word) {
+    std::set<std::string> out;
+    if (word == "state") out.insert("state");
+    if (word == "cloud") out.insert("cloud");
+    if (word == "workers") {
+      for (int i = 1; i < 200; ++i) {
+        char name[16];
+        std::snprintf(name, sizeof name, "host-%06d", i);
+        out.insert(name);
+      }
+    }
+    if (word == "peers") {
+      for (int i = 0; i < settings_.nodes; ++i) out.insert("node" + std::to_string(i));
+    }
+    return out;  // "all": empty
+  }
+
+  std::string busyMachine(const std::string& word) {
+    auto busy = world_->machinesWithTasks();
+    if (word == "busy") return busy.empty() ? "" : busy.front();
+    for (const auto& [host, w] : world_->workers) {
+      if (word == "spot" && w->spot && !w->gone) return host;
+    }
+    return word;
+  }
+
+  void step(const Line& line) {
+    World& w = *world_;
+    const auto& words = line.words;
+    const std::string& verb = words[0];
+    auto ms = [](const std::string& s) { return static_cast<std::int64_t>(std::stod(s) * 1000); };
+    if (verb == "submit") {
+      JobPlan job;
+      job.id = words.at(1);
+      for (const auto& [key, value] : options(line, 2)) {
+        if (key == "shape") job.shape = value;
+        else if (key == "tasks") job.tasks = std::stoi(value);
+        else if (key == "gpus") job.gpus = std::stod(value);
+        else if (key == "cpus") job.cpus = std::stod(value);
+        else if (key == "run") job.runS = std::stod(value);
+        else if (key == "rank") job.rank = value;
+        else if (key == "zone") job.zone = value;
+        else if (key == "together") job.together = value == "yes";
+        else if (key == "apart") job.apart = value == "yes";
+        else if (key == "spot") job.spot = value == "yes";
+        else if (key == "checkpoint") job.checkpointS = std::stod(value);
+        else FAIL() << "unknown option " << key;
+      }
+      w.submit(job);
+    } else if (verb == "abort") {
+      w.abort(words.at(1));
+    } else if (verb == "run") {
+      w.runFor(std::stod(words.at(1)));
+    } else if (verb == "crash") {
+      if (words.at(1) == "all") {
+        for (int i = 0; i < settings_.nodes; ++i) w.crash(i);
+      } else {
+        w.crash(w.nodeFrom(words.at(1)));
+      }
+    } else if (verb == "cut") {  // cut NODE from GROUP MODE SECONDS
+      w.network.cut("node" + std::to_string(w.nodeFrom(words.at(1))), group(words.at(3)),
+                    mode(words.at(4)), ms(words.at(5)));
+    } else if (verb == "cutmachine") {  // cutmachine WHICH MODE SECONDS
+      w.network.cut(busyMachine(words.at(1)), {}, mode(words.at(2)), ms(words.at(3)));
+    } else if (verb == "outage") {
+      if (words.at(1) == "state") w.state.outage(ms(words.at(2)));
+      if (words.at(1) == "cloud") w.cloudOutageUntil = w.clock.now() + ms(words.at(2));
+    } else if (verb == "refuse") {  // by the state service alone
+      w.state.refuse("node" + std::to_string(w.nodeFrom(words.at(1))), ms(words.at(2)));
+    } else if (verb == "die") {
+      auto host = busyMachine(words.at(1));
+      ASSERT_TRUE(w.workers.contains(host)) << "no such machine";
+      w.workers[host]->die();
+    } else if (verb == "hang") {
+      auto host = busyMachine(words.at(1));
+      ASSERT_TRUE(w.workers.contains(host)) << "no such machine";
+      w.workers[host]->hang(ms(words.at(2)));
+    } else if (verb == "notice") {
+      auto host = busyMachine(words.at(1));
+      ASSERT_TRUE(w.workers.contains(host)) << "no such machine";
+      w.workers[host]->notice(ms(words.at(2)));
+    } else if (verb == "lose") {  // lose answers|late SHARE
+      (words.at(1) == "answers" ? w.network.lossOfAnswers : w.network.lateRequests) =
+          std::stod(words.at(2));
+    } else if (verb == "capacity") {  // capacity spot|ordinary PER_ZONE
+      w.setCapacity(words.at(1) == "spot", std::stoi(words.at(2)));
+    } else if (verb == "chaos") {
+      chaos(std::stod(words.at(1)));
+    } else if (verb == "expect") {
+      expect(line);
+    } else {
+      FAIL() << "unknown verb " << verb;
+    }
+  }
+
+  void expect(const Line& line) {
+    World& w = *world_;
+    const auto& words = line.words;
+    const std::string& what = words.at(1);
+    if (what == "phase") {
+      EXPECT_EQ(w.phaseOf(words.at(2)), words.at(3));
+    } else if (what == "replicas") {
+      EXPECT_EQ(w.runningReplicas(words.at(2)), std::stoi(words.at(3)));
+    } else if (what == "leader") {
+      EXPECT_GE(w.leaderNode(), 0);
+    } else if (what == "machines") {  // expect machines spot|ordinary most|least N
+      auto n = w.machineCount(words.at(2) == "spot");
+      auto bound = std::stoul(words.at(4));
+      if (words.at(3) == "most") {
+        EXPECT_LE(n, bound);
+      } else {
+        EXPECT_GE(n, bound);
+      }
+    } else if (what == "starts") {  // expect starts most N
+      EXPECT_LE(w.starts, std::stoul(words.at(3)));
+    } else if (what == "hired") {
+      EXPECT_LE(w.hired, std::stoul(words.at(3)));
+    } else {
+      FAIL() << "unknown expectation " << what;
+    }
+  }
+
+  // Random faults, jobs and cancellations for a while; the seed decides.
+  void chaos(double seconds) {
+    World& w = *world_;
+    auto pick = [&](std::uint64_t n) { return w.random() % n; };
+    auto until = w.now() + seconds;
+    int job = 500000;
+    while (w.now() < until) {
+      w.runFor(0.5 + static_cast<double>(pick(6000)) / 1000.0);
+      if (!w.broken.empty()) return;
+      int node = static_cast<int>(pick(static_cast<std::uint64_t>(settings_.nodes)));
+      auto busy = w.machinesWithTasks();
+      auto duration = static_cast<std::int64_t>(2000 + pick(38000));
+      auto anyMode = static_cast<CutMode>(pick(3));
+      const char* groups[] = {"all", "state", "workers", "peers", "cloud"};
+      switch (pick(14)) {
+        case 0:
+          w.crash(node);
+          break;
+        case 1:
+          if (int l = w.leaderNode(); l >= 0) w.crash(l);
+          break;
+        case 2:
+          w.network.cut("node" + std::to_string(node), group(groups[pick(5)]), anyMode, duration);
+          break;
+        case 3:
+          w.network.cut("node" + std::to_string(w.nodeFrom("leader")), group(groups[pick(5)]),
+                        anyMode, duration);
+          break;
+        case 4:
+          w.state.outage(static_cast<std::int64_t>(1000 + pick(20000)));
+          break;
+        case 5:
+          w.state.refuse("node" + std::to_string(w.nodeFrom("leader")), duration);
+          break;
+        case 6:
+          if (!busy.empty()) w.workers[busy[pick(busy.size())]]->die();
+          break;
+        case 7:
+          if (!busy.empty()) w.workers[busy[pick(busy.size())]]->hang(duration);
+          break;
+        case 8:
+          if (!busy.empty()) w.network.cut(busy[pick(busy.size())], {}, anyMode, duration);
+          break;
+        case 9:
+          w.cloudOutageUntil = w.clock.now() + duration;
+          break;
+        case 10:
+          if (!submitted_.empty()) w.abort(submitted_[pick(submitted_.size())]);
+          break;
+        default: {
+          JobPlan p;
+          p.id = "j-" + std::to_string(job++);
+          bool service = pick(3) == 0;
+          p.shape = service ? "daemon" : "batch";
+          p.rank = service ? "production" : "best_effort";
+          p.tasks = static_cast<int>(1 + pick(service ? 3 : 10));
+          p.apart = service;
+          p.together = !service && pick(4) == 0;
+          p.spot = !service;
+          p.checkpointS = pick(2) ? 5 : 0;
+          p.runS = static_cast<double>(3 + pick(40));
+          w.submit(p);
+          submitted_.push_back(p.id);
+        }
+      }
+    }
+  }
+
+  std::vector<Line> lines_;
+  WorldSettings settings_;
+  std::unique_ptr<World> world_;
+  std::vector<std::string> submitted_;
+};
+
+struct Case {
+  std::string name, file;
+  std::uint64_t seed{};
+};
+
+void PrintTo(const Case& c, std::ostream* out) { *out << c.name; }
+
+std::vector<Line> linesOf(const std::string& file) {
+  std::vector<Line> out;
+  std::ifstream in(file);
+  std::string text;
+  for (int n = 1; std::getline(in, text); ++n) {
+    std::istringstream words(text.substr(0, text.find('#')));
+    Line line{std::filesystem::path(file).filename(), n, {}};
+    for (std::string word; words >> word;) line.words.push_back(word);
+    if (!line.words.empty()) out.push_back(std::move(line));
+  }
+  return out;
+}
+
+std::vector<Case> cases() {
+  std::vector<Case> out;
+  std::vector<std::filesystem::path> files;
+  for (const auto& entry : std::filesystem::directory_iterator(SCENARIO_DIR)) {
+    if (entry.path().extension() == ".txt") files.push_back(entry.path());
+  }
+  std::sort(files.begin(), files.end());
+  for (const auto& f : files) {
+    std::vector<std::uint64_t> seeds{1};
+    for (const auto& line : linesOf(f)) {
+      if (line.words[0] != "seeds") continue;
+      seeds.clear();
+      for (auto s = std::stoull(line.words.at(1)); s <= std::stoull(line.words.at(2)); ++s) {
+        seeds.push_back(s);
+      }
+    }
+    for (auto s : seeds) {
+      std::string name = f.stem().string();
+      std::replace(name.begin(), name.end(), '-', '_');
+      if (seeds.size() > 1) name += "_" + std::to_string(s);
+      out.push_back({name, f.string(), s});
+    }
+  }
+  return out;
+}
+
+class ScenarioTest : public testing::TestWithParam<Case> {};
+
+TEST_P(ScenarioTest, KeepsTheRules) {
+  const char* level = std::getenv("LOG_LEVEL");
+  if (!level) spdlog::set_level(spdlog::level::off);
+  Scenario(linesOf(GetParam().file), GetParam().seed).run();
+}
+
+INSTANTIATE_TEST_SUITE_P(Scenarios, ScenarioTest, testing::ValuesIn(cases()),
+                         [](const auto& info) { return info.param.name; });
+
+}  // namespace
+}  // namespace kestrelhoist::sim
--- /dev/null
+++ b/tests/sim/state_stand_in.cpp
@@ -0,0 +1,161 @@
+#include "sim/state_stand_in.hpp"
+
+namespace kestrelhoist::sim {
+namespace {
+
+std::map<std::string, std::string> queryOf(const std::string& path) {
+  std::map<std::string, std::string> out;
+  auto mark = path.find('?');
+  while (mark != std::string::npos) {
+    auto next = path.find('&', mark + 1);
+    auto part = path.substr(mark + 1, next == std::string::npos ? next : next - mark - 1);
+    auto eq = part.find('=');
+    if (eq != std::string::npos) out[part.substr(0, eq)] = part.substr(eq + 1);
+    mark = next;
+  }
+  return out;
+}
+
+}  // namespace
+
+StateStandIn::StateStandIn(Clockwork& clock, Network& network, const std::string& address)
+    : clock_(clock) {
+  network.listen(address, [this](const std::string& from, const Request& q, const Respond& respond) {
+    respond(handle(from, q));
+  });
+}
+
+void StateStandIn::outage(std::int64_t ms) {
+  expire();
+  outageUntil_ = std::max(outageUntil_, clock_.now() + ms);
+  // When it is over, every lease has its full time again.
+  for (auto& [id, lease] : leases_) lease.ends = outageUntil_ + lease.life;
+}
+
+void StateStandIn::drop(const std::string& key) {
+  data_.erase(key);
+  log_.push_back({key, std::nullopt, epoch_});
+}
+
+void StateStandIn::expire() {
+  if (clock_.now() < outageUntil_) return;
+  for (auto it = leases_.begin(); it != leases_.end();) {
+    if (it->second.ends > clock_.now()) {
+      ++it;
+      continue;
+    }
+    std::vector<std::string> keys;
+    for (const auto& [key, entry] : data_) {
+      if (entry.lease == it->first) keys.push_back(key);
+    }
+    if (!keys.empty()) ++epoch_;
+    for (const auto& key : keys) drop(key);
+    it = leases_.erase(it);
+  }
+}
+
+Response StateStandIn::handle(const std::string& from, const Request& q) {
+  expire();
+  auto refused = refused_.find(from);
+  if (clock_.now() < outageUntil_ ||
+      (refused != refused_.end() && clock_.now() < refused->second)) {
+    return jsonResponse(503, {{"error", "trouble"}});
+  }
+  std::string path = q.path.substr(0, q.path.find('?'));
+  auto body = decodeBody(q.body);
+  if (path == "/commit") return body ? commit(*body) : jsonResponse(400, {});
+  if (path == "/store") return list(queryOf(q.path));
+  if (path == "/changes") return changes(queryOf(q.path));
+  if (path == "/leases") {
+    auto id = nextLease_++;
+    auto life = static_cast<std::int64_t>(*countField(*body, "life_ms"));
+    leases_[id] = {life, clock_.now() + life};
+    return jsonResponse(200, {{"ticket", id}});
+  }
+  if (path.starts_with("/leases/")) {
+    auto id = std::stoull(path.substr(8));
+    auto it = leases_.find(id);
+    if (it == leases_.end()) return jsonResponse(404, Json::object());
+    if (q.method == "DELETE") {
+      it->second.ends = 0;
+      expire();
+    } else {
+      it->second.ends = clock_.now() + it->second.life;
+    }
+    return jsonResponse(200, {{"ticket", id}});
+  }
+  return jsonResponse(400, Json::object());
+}
+
+Response StateStandIn::commit(const Json& body) {
+  const Json& when = body.at("when");
+  const Json& writes = body.at("writes");
+  if (writes.size() > transactionOps || when.size() > 4 * transactionOps ||
+      body.dump().size() > 64 * 1024) {
+    return jsonResponse(400, {{"error", "too large"}});
+  }
+  for (const auto& w : writes) {
+    if (w.contains("data") && w["data"].dump().size() > valueBytes) {
+      return jsonResponse(400, {{"error", "value too large"}});
+    }
+    if (w.contains("ticket") && !leases_.contains(w["ticket"].get<std::uint64_t>())) {
+      return jsonResponse(400, {{"error", "no such lease"}});
+    }
+  }
+  Json failed = Json::array();
+  for (const auto& c : when) {
+    auto it = data_.find(c["path"].get<std::string>());
+    std::uint64_t stamp = it == data_.end() ? 0 : it->second.stamp;
+    if (stamp != c["stamp"].get<std::uint64_t>()) failed.push_back(c["path"]);
+  }
+  if (!failed.empty()) return jsonResponse(409, {{"failed", failed}, {"epoch", epoch_}});
+  if (!writes.empty()) ++epoch_;
+  for (const auto& w : writes) {
+    if (w.contains("drop")) {
+      drop(w["drop"].get<std::string>());
+      continue;
+    }
+    auto key = w["set"].get<std::string>();
+    data_[key] = {w["data"], epoch_, w.value("ticket", std::uint64_t{0})};
+    log_.push_back({key, w["data"], epoch_});
+  }
+  return jsonResponse(200, {{"epoch", epoch_}});
+}
+
+Response StateStandIn::list(const std::map<std::string, std::string>& query) {
+  const auto& prefix = query.at("prefix");
+  std::size_t page = std::stoul(query.at("page"));
+  auto since = query.find("since");
+  Json rows = Json::array();
+  bool more = false;
+  for (const auto& [key, entry] : data_) {
+    if (!key.starts_with(prefix) || (since != query.end() && key <= since->second)) continue;
+    if (rows.size() == page) {
+      more = true;
+      break;
+    }
+    rows.push_back({{"path", key}, {"data", entry.data}, {"stamp", entry.stamp}});
+  }
+  return jsonResponse(200, {{"rows", rows}, {"truncated", more}, {"epoch", epoch_}});
+}
+
+Response StateStandIn::changes(const std::map<std::string, std::string>& query) {
+  const auto& prefix = query.at("prefix");
+  std::uint64_t since = std::stoull(query.at("since"));
+  constexpr std::size_t kKept = 10000;
+  if (log_.size() > kKept && log_[log_.size() - kKept].stamp > since) {
+    return jsonResponse(410, Json::object());
+  }
+  Json events = Json::array();
+  for (const auto& c : log_) {
+    if (c.stamp <= since || !c.key.starts_with(prefix)) continue;
+    if (c.data) {
+      events.push_back({{"set", c.key}, {"data", *c.data}, {"stamp", c.stamp}});
+    } else {
+      events.push_back({{"drop", c.key}, {"stamp", c.stamp}});
+    }
+  }
+  return jsonResponse(200, {{"epoch", epoch_}, {"events", events}});
+}
+
+}  // namespace kestrelhoist::sim
--- /dev/null
+++ b/tests/sim/state_stand_in.hpp
@@ -0,0 +1,47 @@
+// Stand-in of the state service, written from PROTOCOL.
+#pragma once
+
+#include "sim/virtual_time.hpp"
+
+namespace kestrelhoist::sim {
+
+class StateStandIn {
+ public:
+  StateStandIn(Clockwork& clock, Network& network, const std::string& address);
+  void outage(std::int64_t ms);
+  void refuse(const std::string& host, std::int64_t ms) { refused_[host] = clock_.now() + ms; }
+  std::size_t transactionOps = 8;
+  std::size_t valueBytes = 8192;
+
+ private:
+  struct Entry {
+    Json data;
+    std::uint64_t stamp{};
+    std::uint64_t lease{};
+  };
+  struct Lease {
+    std::int64_t life{};
+    std::int64_t ends{};
+  };
+  struct Change {
+    std::string key;
+    std::optional<Json> data;
+    std::uint64_t stamp{};
+  };
+  Response handle(const std::string& from, const Request& request);
+  Response commit(const Json& body);
+  Response list(const std::map<std::string, std::string>& query);
+  Response changes(const std::map<std::string, std::string>& query);
+  void expire();
+  void drop(const std::string& key);
+
+  Clockwork& clock_;
+  std::map<std::string, Entry> data_;
+  std::map<std::uint64_t, Lease> leases_;
+  std::vector<Change> log_;
+  std::uint64_t epoch_ = 0, nextLease_ = 1;
+  std::int64_t outageUntil_ = 0;
+  std::map<std::string, std::int64_t> refused_;
+};
+
+}  // namespace kestrelhoist::sim
--- /dev/null
+++ b/tests/sim/virtual_time.hpp
@@ -0,0 +1,171 @@
+// Virtual time and a network that delays, loses, holds and resets messages.
+#pragma once
+
+#include <map>
+#include <queue>
+#include <random>
+#include <set>
+
+#include "base/runtime.hpp"
+
+namespace kestrelhoist::sim {
+
+class Clockwork {
+ public:
+  std::int64_t now() const { return now_; }
+  void at(std::int64_t ms, std::function<void()> f) {
+    queue_.push({std::max(ms, now_), next_++, std::move(f)});
+  }
+  void in(std::int64_t ms, std::function<void()> f) { at(now_ + ms, std::move(f)); }
+  // Runs everything up to `ms`.
+  void runUntil(std::int64_t ms) {
+    while (!queue_.empty() && queue_.top().at <= ms) {
+      auto event = queue_.top();
+      queue_.pop();
+      now_ = event.at;
+      event.f();
+    }
+    now_ = ms;
+  }
+
+ private:
+  struct Event {
+    std::int64_t at;
+    std::uint64_t order;
+    std::function<void()> f;
+    bool operator<(const Event& o) const {
+      return at != o.at ? at > o.at : order > o.order;
+    }
+  };
+  std::priority_queue<Event> queue_;
+  std::int64_t now_ = 1000;
+  std::uint64_t next_ = 0;
+};
+
+enum class CutMode { hold, drop, reset };
+
+// Hosts by name; an address is "host:port". A cut separates two groups of hosts.
+class Network {
+ public:
+  using Server = std::function<void(const std::string& from, const Request&, Respond)>;
+
+  Network(Clockwork& clock, std::mt19937_64& random) : clock_(clock), random_(random) {}
+
+  void listen(const std::string& address, Server server) { servers_[address] = std::move(server); }
+  void close(const std::string& address) { servers_.erase(address); }
+  // A host without power: says nothing.
+  void silence(const std::string& host) { silent_.insert(host); }
+
+  // Cuts host from every host in `others` (all if empty) for `ms`.
+  void cut(const std::string& host, const std::set<std::string>& others, CutMode mode,
+           std::int64_t ms) {
+    cuts_.push_back({host, others, mode, clock_.now() + ms});
+  }
+  double lossOfAnswers = 0;     // share of requests whose answer is lost
+  double lateRequests = 0;      // share that arrives up to two minutes late
+
+  void send(const std::string& from, const std::string& address, Request request,
+            std::int64_t timeout, OnReply done) {
+    auto answered = std::make_shared<bool>(false);
+    auto finish = [answered, done](std::optional<Response> r) {
+      if (*answered) return;
+      *answered = true;
+      done(std::move(r));
+    };
+    clock_.in(timeout, [finish] { finish(std::nullopt); });
+    std::string to = address.substr(0, address.find(':'));
+    std::int64_t delay = latency();
+    if (chance(lateRequests)) delay += std::uniform_int_distribution<std::int64_t>(0, 120000)(random_);
+    travel(from, to, delay, [this, from, to, address, request, finish](bool reset) {
+      if (reset) return finish(std::nullopt);
+      auto server = servers_.find(address);
+      if (server == servers_.end()) return finish(std::nullopt);
+      bool lost = chance(lossOfAnswers);
+      server->second(from, request, [this, from, to, finish, lost](const Response& r) {
+        if (lost) return;
+        travel(to, from, latency(), [finish, r](bool reset) {
+          if (reset) return finish(std::nullopt);
+          finish(r);
+        });
+      });
+    });
+  }
+
+ private:
+  struct Cut {
+    std::string host;
+    std::set<std::string> others;
+    CutMode mode;
+    std::int64_t until;
+  };
+  std::int64_t latency() { return std::uniform_int_distribution<std::int64_t>(1, 4)(random_); }
+  bool chance(double p) { return p > 0 && std::bernoulli_distribution(p)(random_); }
+
+  const Cut* cutBetween(const std::string& a, const std::string& b) const {
+    for (const auto& c : cuts_) {
+      if (c.until <= clock_.now()) continue;
+      auto hits = [&](const std::string& x, const std::string& y) {
+        return c.host == x && (c.others.empty() || c.others.contains(y));
+      };
+      if (hits(a, b) || hits(b, a)) return &c;
+    }
+    return nullptr;
+  }
+
+  void travel(const std::string& from, const std::string& to, std::int64_t delay,
+              std::function<void(bool reset)> arrive) {
+    clock_.in(delay, [this, from, to, arrive] {
+      if (silent_.contains(to) || silent_.contains(from)) return;
+      if (const Cut* c = cutBetween(from, to)) {
+        if (c->mode == CutMode::reset) return arrive(true);
+        if (c->mode == CutMode::drop) return;
+        clock_.at(c->until + latency(), [this, from, to, arrive] { travel(from, to, 0, arrive); });
+        return;
+      }
+      arrive(false);
+    });
+  }
+
+  Clockwork& clock_;
+  std::mt19937_64& random_;
+  std::map<std::string, Server> servers_;
+  std::set<std::string> silent_;
+  std::vector<Cut> cuts_;
+};
+
+// One life of one process: its timers and answers end with it. The clock may run fast.
+class HostRuntime : public Runtime, public HttpClient {
+ public:
+  HostRuntime(Clockwork& clock, Network& network, std::string host, double clockRate)
+      : clock_(clock), network_(network), host_(std::move(host)), rate_(clockRate) {}
+
+  Instant now() override {
+    return {static_cast<std::int64_t>(static_cast<double>(clock_.now()) * rate_)};
+  }
+  std::int64_t wallMillis() override { return 1700000000000 + clock_.now(); }
+  void after(Duration delay, std::function<void()> f) override {
+    auto real = static_cast<std::int64_t>(static_cast<double>(delay.count()) / rate_ + 0.999);
+    clock_.in(std::max<std::int64_t>(real, 0), guard(std::move(f)));
+  }
+  void send(const std::string& address, Request request, Duration timeout,
+            OnReply onReply) override {
+    network_.send(host_, address, std::move(request), timeout.count(),
+                  [alive = std::weak_ptr<int>(alive_), onReply](std::optional<Response> r) {
+                    if (!alive.expired()) onReply(std::move(r));
+                  });
+  }
+
+ private:
+  std::function<void()> guard(std::function<void()> f) {
+    return [alive = std::weak_ptr<int>(alive_), f = std::move(f)] {
+      if (!alive.expired()) f();
+    };
+  }
+  Clockwork& clock_;
+  Network& network_;
+  std::string host_;
+  double rate_;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+}  // namespace kestrelhoist::sim
--- /dev/null
+++ b/tests/sim/world.cpp
@@ -0,0 +1,389 @@
+#include "sim/world.hpp"
+
+#include <algorithm>
+
+#include "base/log.hpp"
+
+namespace kestrelhoist::sim {
+namespace {
+
+std::int64_t ms(double s) { return static_cast<std::int64_t>(s * 1000); }
+
+// Plans in place, on the event loop.
+class InlinePlanRunner : public PlanRunner {
+ public:
+  explicit InlinePlanRunner(Runtime& runtime) : runtime_(runtime) {}
+  void run(PlanInput input, std::function<void(PlanInput, Plan)> done) override {
+    Plan plan = makePlan(input);
+    runtime_.after(Duration{0}, [input = std::move(input), plan = std::move(plan),
+                                 done = std::move(done)]() mutable {
+      done(std::move(input), std::move(plan));
+    });
+  }
+
+ private:
+  Runtime& runtime_;
+};
+
+}  // namespace
+
+World::World(WorldSettings s)
+    : settings(s), random(s.seed), network(clock, random), state(clock, network, "state:1") {
+  for (const auto& z : settings.zones) {
+    capacity_[{z, false}] = settings.ordinaryPerZone;
+    capacity_[{z, true}] = settings.spotPerZone;
+  }
+  network.listen("cloud:1", [this](const std::string&, const Request& q, const Respond& respond) {
+    clock.in(100, [this, q, respond] { respond(cloud(q)); });
+  });
+  nodes_.resize(static_cast<std::size_t>(settings.nodes));
+  for (int i = 0; i < settings.nodes; ++i) {
+    Platform& p = nodes_[static_cast<std::size_t>(i)].platform;
+    p.member = MemberId{"node" + std::to_string(i)};
+    p.zone = ZoneId{settings.zones[static_cast<std::size_t>(i) % settings.zones.size()]};
+    p.apiAddress = nodeApi(i);
+    p.meshAddress = "node" + std::to_string(i) + ":81";
+    for (int j = 0; j < settings.nodes; ++j) {
+      if (j == i) continue;
+      p.peers.push_back({MemberId{"node" + std::to_string(j)}, ZoneId{"a"},
+                         "node" + std::to_string(j) + ":81"});
+    }
+    p.cloudAddress = "cloud:1";
+    p.stateAddress = "state:1";
+    for (const auto& z : settings.zones) p.zones.emplace_back(z);
+    Team team;
+    team.limit.gpus = settings.gpusMax;
+    p.teams[TeamId{"team"}] = team;
+    p.reportEvery = fromSeconds(settings.reportS);
+    p.workerLease = fromSeconds(settings.leaseS);
+    p.cancelWithin = fromSeconds(settings.cancelS);
+    p.stateRequestsPerS = 150;
+    p.stateWritesPerS = 25;
+    p.valueBytes = 8192;
+    p.transactionOps = 8;
+    p.cloudRequestsPerS = 6;
+    p.listLag = fromSeconds(settings.listLagS);
+    p.ramMb = 40;
+    p.maxConnections = 600;
+    boot(i);
+  }
+  std::function<void()> watch = [this] { checkCancelled(); };
+  clock.in(500, watch);
+  pollUnknown();
+}
+
+World::~World() {
+  for (auto& n : nodes_) {
+    n.controller.reset();
+    n.runtime.reset();
+  }
+}
+
+void World::fail(const std::string& rule, const std::string& what) {
+  broken.push_back(rule + " at " + std::to_string(now()) + ": " + what);
+}
+
+void World::boot(int i) {
+  Node& n = nodes_[static_cast<std::size_t>(i)];
+  ++n.lives;
+  // Clocks run up to 0.05% fast.
+  double rate = 1.0 + 0.0005 * i / std::max(1, settings.nodes - 1);
+  std::string host = "node" + std::to_string(i);
+  n.runtime = std::make_unique<HostRuntime>(clock, network, host, rate);
+  n.planner = std::make_unique<InlinePlanRunner>(*n.runtime);
+  n.controller = std::make_unique<Controller>(*n.runtime, *n.runtime, *n.planner, n.platform,
+                                              n.operatorSettings,
+                                              host + "-" + std::to_string(n.lives));
+  auto* c = n.controller.get();
+  network.listen(host + ":80", [c](const std::string&, const Request& q, const Respond& r) {
+    c->onApi(q, r);
+  });
+  network.listen(host + ":81", [c](const std::string&, const Request& q, const Respond& r) {
+    c->onMesh(q, r);
+  });
+  c->start();
+}
+
+void World::crash(int i, std::int64_t downMs) {
+  Node& n = nodes_[static_cast<std::size_t>(i)];
+  if (!n.controller) return;
+  network.close("node" + std::to_string(i) + ":80");
+  network.close("node" + std::to_string(i) + ":81");
+  n.controller.reset();
+  n.runtime.reset();
+  clock.in(downMs, [this, i] { boot(i); });
+}
+
+int World::leaderNode() const {
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    if (nodes_[i].controller && nodes_[i].controller->leads()) return static_cast<int>(i);
+  }
+  return -1;
+}
+
+int World::nodeFrom(const std::string& word) const {
+  if (word != "leader") return std::stoi(word);
+  int l = leaderNode();
+  return l < 0 ? 0 : l;
+}
+
+void World::runFor(double seconds) { clock.runUntil(clock.now() + ms(seconds)); }
+
+const JobPlan* World::plan(const std::string& id) const {
+  auto it = users_.find(id);
+  return it == users_.end() ? nullptr : &it->second.plan;
+}
+
+std::vector<std::string> World::machinesWithTasks() const {
+  std::vector<std::string> out;
+  for (const auto& [host, w] : workers) {
+    if (!w->gone && !w->tasks.empty()) out.push_back(host);
+  }
+  return out;
+}
+
+std::string World::phaseOf(const std::string& id) const {
+  auto it = users_.find(id);
+  return it == users_.end() ? "" : it->second.last;
+}
+
+int World::runningReplicas(const std::string& id) const {
+  int n = 0;
+  for (const auto& [host, w] : workers) {
+    for (const auto& t : w->tasks) n += t.job == id && SimWorker::on(t);
+  }
+  return n;
+}
+
+std::size_t World::machineCount(bool spot) const {
+  return static_cast<std::size_t>(std::count_if(hosts_.begin(), hosts_.end(), [&](const auto& h) {
+    return h.second.spot == spot && h.second.goneAt < 0;
+  }));
+}
+
+void World::setCapacity(bool spot, int perZone) {
+  for (const auto& z : settings.zones) capacity_[{z, spot}] = perZone;
+}
+
+// ---- users ----
+
+Json World::spec(const JobPlan& p) const {
+  Json v = {{"ref", p.id},
+            {"lane", "any"},
+            {"owner", "team"},
+            {"shape", p.shape},
+            {"rank", p.rank},
+            {"shards", p.tasks},
+            {"cpus", p.cpus},
+            {"gpus", p.gpus},
+            {"ram_gb", p.ram},
+            {"bundle", "img-1"},
+            {"size_gb", 1.0},
+            {"rigs", nullptr},
+            {"site", nullptr},
+            {"together", p.together},
+            {"apart", p.apart},
+            {"loaners", p.spot},
+            {"guess_s", p.shape == "daemon" ? 0.0 : p.runS},
+            {"snapshot_s", p.checkpointS},
+            {"flush_s", p.checkpointS > 0 ? 1.0 : 0.0},
+            {"due_s", nullptr}};
+  if (!p.zone.empty()) v["site"] = p.zone;
+  return v;
+}
+
+void World::toSomeNode(Request q, std::int64_t timeout, OnReply done) {
+  auto n = random() % static_cast<std::uint64_t>(settings.nodes);
+  for (std::uint64_t i = 0; i < nodes_.size() && !nodes_[n].controller; ++i) {
+    n = (n + 1) % nodes_.size();
+  }
+  network.send("users", nodeApi(static_cast<int>(n)), std::move(q), timeout, std::move(done));
+}
+
+void World::submit(const JobPlan& job) {
+  users_[job.id].plan = job;
+  trySubmit(job.id);
+}
+
+void World::trySubmit(const std::string& id) {
+  toSomeNode({"POST", "/v2/runs", encodeBody(spec(users_[id].plan))}, 5000,
+             [this, id](std::optional<Response> r) {
+               UserJob& j = users_[id];
+               if (r && (r->status == 200 || r->status == 201)) {
+                 note(id, *r);
+                 if (!j.accepted) {
+                   j.accepted = true;
+                   poll(id);
+                   // A retry may come at any later time.
+                   clock.in(20000 + static_cast<std::int64_t>(random() % 60000),
+                            [this, id] { trySubmit(id); });
+                 }
+                 return;
+               }
+               if (r && (r->status == 400 || r->status == 422)) {
+                 if (j.accepted) fail("forgotten", id + " got " + std::to_string(r->status));
+                 j.last = "refused";
+                 return;
+               }
+               if (!j.accepted) clock.in(1000, [this, id] { trySubmit(id); });
+             });
+}
+
+void World::abort(const std::string& id) {
+  users_[id].abortAsked = true;
+  tryAbort(id);
+}
+
+void World::tryAbort(const std::string& id) {
+  toSomeNode({"POST", "/v2/runs/" + id + "/abort", ""}, 5000, [this, id](std::optional<Response> r) {
+    if (r && r->status == 200) return note(id, *r);
+    if (r && r->status == 404 && users_[id].accepted) fail("forgotten", id + " abort got 404");
+    clock.in(1000, [this, id] { tryAbort(id); });
+  });
+}
+
+void World::poll(const std::string& id) {
+  clock.in(4000 + static_cast<std::int64_t>(random() % 2000), [this, id] {
+    toSomeNode({"GET", "/v2/runs/" + id, ""}, 2000, [this, id](std::optional<Response> r) {
+      if (r && r->status == 200) note(id, *r);
+      if (r && r->status == 404) fail("forgotten", id + " polled 404");
+      poll(id);
+    });
+  });
+}
+
+void World::pollUnknown() {
+  clock.in(7000, [this] {
+    toSomeNode({"GET", "/v2/runs/j-99999999", ""}, 2000, [this](std::optional<Response> r) {
+      if (r && r->status == 200) fail("invented", "j-99999999");
+    });
+    pollUnknown();
+  });
+}
+
+void World::note(const std::string& id, const Response& r) {
+  auto body = decodeBody(r.body);
+  auto phase = body ? textField(*body, "phase") : std::nullopt;
+  if (!phase) return fail("malformed", id);
+  UserJob& j = users_[id];
+  j.last = *phase;
+  if (!j.told.empty() && j.told != *phase) {
+    fail("went_back", id + " was " + j.told + ", now " + *phase);
+  }
+  if (*phase == "done") {
+    for (int i = 0; i < j.plan.tasks; ++i) {
+      if (!results.contains({id, i})) fail("not_done", id + "/" + std::to_string(i));
+    }
+    j.told = *phase;
+  } else if (*phase == "withdrawn") {
+    if (!j.abortAsked) fail("went_back", id + " cancelled although nobody asked");
+    if (j.cancelledToldAt < 0) j.cancelledToldAt = clock.now();
+    j.told = *phase;
+  }
+}
+
+// ---- rules ----
+
+void World::onStart(SimWorker& worker, const SimWorker::Task& task) {
+  ++starts;
+  const JobPlan* p = plan(task.job);
+  std::string name = task.job + "/" + std::to_string(task.index) + " on " + worker.host;
+  std::map<std::string, int> perZone;
+  double gpus = 0;
+  for (const auto& [host, w] : workers) {
+    for (const auto& t : w->tasks) {
+      if (!SimWorker::on(t)) continue;
+      gpus += plan(t.job)->gpus;
+      if (t.job != task.job) continue;
+      ++perZone[w->zone];
+      if (t.index == task.index && w.get() != &worker) {
+        fail("ran_twice", name + " while on " + host);
+      }
+    }
+  }
+  if (settings.gpusMax > 0 && gpus > settings.gpusMax + 1e-9) fail("quota", name);
+  if (worker.spot && !p->spot) fail("wrong_place", name + ": spot");
+  if (!p->zone.empty() && p->zone != worker.zone) fail("wrong_place", name + ": zone");
+  if (p->together && perZone.size() > 1) fail("wrong_place", name + ": not together");
+  if (p->apart && perZone[worker.zone] > (p->tasks + 1) / 2) fail("wrong_place", name + ": apart");
+}
+
+void World::checkCancelled() {
+  for (const auto& [id, j] : users_) {
+    if (j.cancelledToldAt < 0 || clock.now() - j.cancelledToldAt <= ms(settings.cancelS)) continue;
+    if (runningReplicas(id) > 0) fail("ran_cancelled", id);
+  }
+  clock.in(500, [this] { checkCancelled(); });
+}
+
+// ---- cloud ----
+
+Response World::cloud(const Request& q) {
+  if (clock.now() < cloudOutageUntil) return jsonResponse(503, {{"error", "trouble"}});
+  std::string path = q.path.substr(0, q.path.find('?'));
+  auto body = decodeBody(q.body);
+  if (path == "/machine_types") {
+    Json type = {{"name", "box"},       {"cpus", settings.cpus},   {"gpus", settings.gpus},
+                 {"ram_gb", settings.ram}, {"local_gb", 50},        {"pull_gb_per_s", 1.0},
+                 {"rate", 10.0},        {"market_price", 3.0},     {"ready_s", settings.bootS},
+                 {"sites", settings.zones}};
+    return jsonResponse(200, {{"rigs", Json::array({type})}});
+  }
+  if (path == "/hosts" && q.method == "POST") {
+    auto hire = body->at("hire").get<std::string>();
+    if (hires_.contains(hire)) return jsonResponse(200, hires_[hire]);
+    auto zone = body->at("site").get<std::string>();
+    bool spot = body->at("loaners").get<bool>();
+    int used = 0;
+    for (const auto& [name, h] : hosts_) {
+      used += h.zone == zone && h.spot == spot && h.goneAt < 0;
+    }
+    int n = std::min(body->at("count").get<int>(), capacity_[{zone, spot}] - used);
+    if (n <= 0) return jsonResponse(503, {{"error", "no capacity"}});
+    Json names = Json::array();
+    for (int i = 0; i < n; ++i) {
+      char name[16];
+      std::snprintf(name, sizeof name, "host-%06zu", ++hired);
+      hosts_[name] = {zone, spot, clock.now()};
+      names.push_back(name);
+      if (std::bernoulli_distribution(settings.bootFail)(random)) continue;
+      double factor = 0.6 + 0.9 * std::uniform_real_distribution<>(0, 1)(random);
+      clock.in(ms(settings.bootS * factor), [this, host = std::string(name), zone, spot] {
+        if (hosts_[host].goneAt >= 0) return;
+        hosts_[host].phase = "running";
+        workers[host] = std::make_unique<SimWorker>(*this, host, zone, spot);
+        workers[host]->start();
+      });
+    }
+    return jsonResponse(200, hires_[hire] = {{"hosts", names}});
+  }
+  if (path == "/hosts/release") {
+    for (const auto& name : body->at("hosts")) {
+      auto host = hosts_.find(name.get<std::string>());
+      if (host == hosts_.end()) continue;
+      if (host->second.goneAt < 0) host->second.goneAt = clock.now();
+      if (auto w = workers.find(host->first); w != workers.end()) w->second->die();
+    }
+    return jsonResponse(200, Json::object());
+  }
+  if (path == "/hosts") {
+    // Lags by up to twice the bound, differently each time.
+    auto lag = ms(settings.listLagS * 2 * std::uniform_real_distribution<>(0, 1)(random));
+    auto then = clock.now() - lag;
+    Json list = Json::array();
+    for (const auto& [name, h] : hosts_) {
+      if (h.rentedAt > then || (h.goneAt >= 0 && h.goneAt <= then)) continue;
+      list.push_back({{"ref", name},
+                      {"addr", name + ":9"},
+                      {"rig", "box"},
+                      {"site", h.zone},
+                      {"loaners", h.spot},
+                      {"phase", h.phase},
+                      {"age_s", static_cast<double>(then - h.rentedAt) / 1000.0}});
+    }
+    return jsonResponse(200, {{"hosts", list}, {"truncated", false}});
+  }
+  return jsonResponse(400, Json::object());
+}
+
+}  // namespace kestrelhoist::sim
