--- /dev/null
+++ b/src/base/http_test.cpp
@@ -0,0 +1,94 @@
+// evhttp server and client over real loopback sockets.
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+
+#include "base/event_loop.hpp"
+
+namespace kestrelhoist {
+namespace {
+
+TEST(Http, RequestsAreAnsweredOverLoopback) {
+  EventLoop loop;
+  HttpServer server(loop, "127.0.0.1:0", [](const Request& q, const Respond& respond) {
+    auto body = decodeBody(q.body);
+    respond({201, encodeBody({{"method", q.method}, {"path", q.path}, {"echo", *body}}), 7});
+  });
+  EvHttpClient client(loop, 8);
+  std::string address = "127.0.0.1:" + std::to_string(server.port());
+  int answers = 0;
+  std::function<void()> ask = [&] {
+    client.send(address, {"POST", "/x?y=1", encodeBody({{"n", answers}})}, Duration{5000},
+                [&](std::optional<Response> r) {
+                  ASSERT_TRUE(r);
+                  EXPECT_EQ(r->status, 201);
+                  auto body = decodeBody(r->body);
+                  EXPECT_EQ(body->at("path"), "/x?y=1");
+                  EXPECT_EQ(body->at("echo").at("n"), answers);
+                  if (++answers == 3) return loop.stop();
+                  ask();
+                });
+  };
+  ask();
+  loop.run();
+  EXPECT_EQ(answers, 3);
+}
+
+TEST(Http, OversizedBodiesAndHandlersThatThrowAreAnswered) {
+  EventLoop loop;
+  HttpServer server(loop, "127.0.0.1:0",
+                    [](const Request&, const Respond&) { throw std::runtime_error("oops"); });
+  EvHttpClient client(loop, 8);
+  std::string address = "127.0.0.1:" + std::to_string(server.port());
+  std::vector<int> statuses;
+  auto note = [&](std::optional<Response> r) {
+    statuses.push_back(r ? r->status : 0);
+    if (statuses.size() == 2) loop.stop();
+  };
+  client.send(address, {"POST", "/", std::string(70000, 'x')}, Duration{5000}, note);
+  client.send(address, {"POST", "/", "x"}, Duration{5000}, note);
+  loop.run();
+  std::sort(statuses.begin(), statuses.end());
+  EXPECT_EQ(statuses, (std::vector<int>{400, 500}));
+}
+
+TEST(Http, NoAnswerIsReportedAfterTheDeadline) {
+  EventLoop loop;
+  std::vector<Respond> held;
+  HttpServer server(loop, "127.0.0.1:0",
+                    [&](const Request&, const Respond& respond) { held.push_back(respond); });
+  EvHttpClient client(loop, 8);
+  bool silent = false;
+  client.send("127.0.0.1:" + std::to_string(server.port()), {"GET", "/", ""}, Duration{100},
+              [&](std::optional<Response> r) {
+                silent = !r;
+                // The asker is gone by now: answering late must do no harm.
+                loop.after(Duration{100}, [&] {
+                  for (auto& respond : held) respond({200, "", 0});
+                  loop.after(Duration{20}, [&] { loop.stop(); });
+                });
+              });
+  loop.run();
+  EXPECT_TRUE(silent);
+}
+
+TEST(Http, ARefusedConnectionIsNoAnswer) {
+  EventLoop loop;
+  EvHttpClient client(loop, 8);
+  bool silent = false;
+  client.send("127.0.0.1:1", {"GET", "/", ""}, Duration{2000}, [&](std::optional<Response> r) {
+    silent = !r;
+    loop.stop();
+  });
+  loop.run();
+  EXPECT_TRUE(silent);
+}
+
+TEST(Cbor, BadBodiesAreNoValue) {
+  EXPECT_FALSE(decodeBody(""));
+  EXPECT_FALSE(decodeBody("\xa1"));
+  EXPECT_FALSE(decodeBody("{\"a\": 1} and more"));
+  EXPECT_EQ(*decodeBody(encodeBody({{"a", 1}})), Json({{"a", 1}}));
+}
+
+}  // namespace
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/fleet/reconcile_test.cpp
@@ -0,0 +1,129 @@
+// The proofs that a task is gone (docs/safety.md, "A task runs at most once").
+#include "fleet/reconcile.hpp"
+
+#include <gtest/gtest.h>
+
+namespace kestrelhoist {
+namespace {
+
+const AttemptId kTask{{JobId{"j-000001"}, 3}, Attempt{7}};
+
+struct Fixture : testing::Test {
+  MachineMemory memory;
+  MachineRecord record;
+  bool stop = false;
+
+  Fixture() {
+    record.tenure = Tenure{2};
+    record.tasks = {kTask};
+  }
+  Report report(std::uint64_t tenure, std::uint64_t tick, std::uint64_t token) {
+    Report r;
+    r.machine = MachineId{"host-000001"};
+    r.tenure = Tenure{tenure};
+    r.tick = Tick{tick};
+    r.token = Token{token};
+    return r;
+  }
+  std::vector<Order> hear(const Report& r, bool mayLaunch = true) {
+    takeReport(memory, r, Instant{0});
+    return reconcile(memory, &record, Token{5}, mayLaunch,
+                     [&](const AttemptId&) { return Wish{stop, Duration{0}}; });
+  }
+  bool gone() { return memory.gone.contains(kTask); }
+};
+
+TEST_F(Fixture, MissingTaskIsLaunchedAgainNotGivenUp) {
+  auto orders = hear(report(2, 1, 5));
+  ASSERT_EQ(orders.size(), 1U);
+  EXPECT_EQ(orders[0].kind, Order::Kind::launch);
+  EXPECT_FALSE(gone());
+}
+
+TEST_F(Fixture, AbsenceUnderAnEarlierTokenProvesNothing) {
+  stop = true;
+  hear(report(2, 1, 4));  // an earlier leader's orders may still be obeyed
+  EXPECT_FALSE(gone());
+  hear(report(2, 2, 5));
+  EXPECT_TRUE(gone());
+}
+
+TEST_F(Fixture, AbsenceFromTheReportThatWasAnsweredWithTheLaunchProvesNothing) {
+  hear(report(2, 1, 5));
+  stop = true;
+  hear(report(2, 1, 5));
+  EXPECT_FALSE(gone());
+  hear(report(2, 2, 5));
+  EXPECT_TRUE(gone());
+}
+
+TEST_F(Fixture, ALateDirectLaunchIsMadeHarmlessBeforeTheTaskIsGivenUp) {
+  memory.tainted.insert(kTask);
+  stop = true;
+  auto orders = hear(report(2, 1, 5));
+  EXPECT_FALSE(gone());
+  ASSERT_EQ(orders.size(), 2U);
+  EXPECT_EQ(orders[0].kind, Order::Kind::launch);
+  EXPECT_EQ(orders[1].kind, Order::Kind::stop);
+  auto ended = report(2, 2, 5);
+  ended.tasks.push_back({kTask, TaskState::ended, EndCause::stopped});
+  hear(ended);
+  EXPECT_TRUE(gone());
+  // Off the record, but never cleared: the worker must go on knowing the attempt.
+  record.tasks.clear();
+  auto later = report(2, 3, 5);
+  later.tasks = ended.tasks;
+  EXPECT_TRUE(hear(later).empty());
+}
+
+TEST_F(Fixture, AnEndedTaskIsClearedOnlyOnceOffTheRecord) {
+  auto ended = report(2, 1, 5);
+  ended.tasks.push_back({kTask, TaskState::ended, EndCause::done});
+  EXPECT_TRUE(hear(ended).empty());
+  EXPECT_EQ(memory.gone.at(kTask), Gone::done);
+  record.tasks.clear();
+  ended.tick = Tick{2};
+  auto orders = hear(ended);
+  ASSERT_EQ(orders.size(), 1U);
+  EXPECT_EQ(orders[0].kind, Order::Kind::clear);
+}
+
+TEST_F(Fixture, AHigherTenureProvesTheOldSessionsTasksGone) {
+  hear(report(3, 1, 0));
+  EXPECT_EQ(memory.gone.at(kTask), Gone::lost);
+}
+
+TEST_F(Fixture, ALateReportOfAnEarlierSessionSaysNothing) {
+  stop = true;
+  hear(report(1, 9, 5));
+  EXPECT_FALSE(gone());
+}
+
+TEST_F(Fixture, AnOlderReportIsNotTakenIn) {
+  EXPECT_TRUE(takeReport(memory, report(2, 5, 5), Instant{0}));
+  EXPECT_FALSE(takeReport(memory, report(2, 4, 5), Instant{1}));
+  EXPECT_FALSE(takeReport(memory, report(1, 9, 5), Instant{1}));
+}
+
+TEST_F(Fixture, ARunningTaskOnNoRecordIsStopped) {
+  record.tasks.clear();
+  auto r = report(2, 1, 5);
+  r.tasks.push_back({kTask, TaskState::running, EndCause::done});
+  auto orders = hear(r);
+  ASSERT_EQ(orders.size(), 1U);
+  EXPECT_EQ(orders[0].kind, Order::Kind::stop);
+}
+
+TEST(ReportCodec, AListThatCannotBeReadWholeIsNoReport) {
+  Json v = {{"host", "host-1"}, {"addr", "10.1.0.1:9"}, {"rig", "g"},  {"site", "a"},
+            {"loaners", true},  {"tenure", 1},          {"tick", 1},   {"baton", 1},
+            {"shards", Json::array({{{"shard", "j-1"}, {"try", 1}, {"phase", "running"}}})}};
+  EXPECT_FALSE(reportFrom(v));
+  v["shards"][0]["shard"] = "j-000001/2";
+  ASSERT_TRUE(reportFrom(v));
+  v["shards"][0]["phase"] = "dancing";
+  EXPECT_FALSE(reportFrom(v));
+}
+
+}  // namespace
+}  // namespace kestrelhoist
