--- a/src/app/leader_commits.cpp
+++ b/src/app/leader_commits.cpp
@@ -351,12 +351,14 @@
     jobs.emplace(p.task.job, job->stamp);
     placed.push_back(id);
     machines.insert(target.id);
+    spdlog::debug("placing {} on {} ({} in {}, image {})", id.str(), target.id.value,
+                  target.spot ? "spot" : "ordinary", target.zone.value,
+                  target.images.contains(job->record.spec->image) ? "there" : "to be fetched");
   }
   if (placed.empty()) return std::nullopt;
   for (const auto& [index, record] : records) addMachine(t, input.machines[index].id, &record);
   // An abort moves the job's stamp, so it and a placement can't both win.
   for (const auto& [id, stamp] : jobs) t.conditions.push_back({keys::job(id), stamp});
-  for (const auto& id : placed) spdlog::debug("placing {}", id.str());
   return Pending{std::move(t),
                  [this, machines] {
                    for (const auto& m : machines) push(m);
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -48,7 +48,10 @@
   touchImages(m);
   std::erase_if(m.seenRunning, [&](const auto& s) { return !report.find(s.first); });
   for (const auto& t : report.tasks) {
-    if (t.state == TaskState::running) m.seenRunning.try_emplace(t.id, now);
+    if (t.state != TaskState::running) continue;
+    if (m.seenRunning.try_emplace(t.id, now).second) {
+      spdlog::debug("task {} runs on {}", t.id.str(), m.id.value);
+    }
   }
   return true;
 }
