--- a/src/app/leader.cpp
+++ b/src/app/leader.cpp
@@ -141,6 +141,8 @@
     j.acceptedAtMs = job->record.acceptedAtMs;
     j.waitingCount = static_cast<std::uint32_t>(count);
     j.stamp = job->stamp;
+    j.remainingS = toSeconds(j.spec->estimate) *
+                   static_cast<double>(job->tasks - std::min(job->tasks, job->finishedCount));
     std::size_t most = j.spec->kind == JobKind::gang ? kMaxTasks : kWaitingPerJob;
     for (std::uint32_t i = 0; i < job->tasks && j.waiting.size() < most; ++i) {
       if (i % TaskBits::kPerChunk == 0) {
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -37,6 +37,9 @@
       const auto& x = in_.jobs[a];
       const auto& y = in_.jobs[b];
       if (x.spec->priority != y.spec->priority) return x.spec->priority > y.spec->priority;
+      // When there is not room for all, the least remaining work first ends the most jobs in
+      // time; services have none and go by age.
+      if (x.remainingS != y.remainingS) return x.remainingS < y.remainingS;
       if (x.acceptedAtMs != y.acceptedAtMs) return x.acceptedAtMs < y.acceptedAtMs;
       return x.spec->id < y.spec->id;
     });
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -36,6 +36,7 @@
 struct PlanJob {
   std::shared_ptr<const JobSpec> spec;
   std::int64_t acceptedAtMs{};
+  double remainingS{};  // estimated run time of all its tasks that are not done, together
   std::vector<std::uint32_t> waiting;  // first tasks to place, bounded
   std::uint32_t waitingCount{};        // all of them
   std::map<ZoneId, std::uint32_t> perZone;  // tasks that may be on machines
