--- a/src/app/leader.cpp
+++ b/src/app/leader.cpp
@@ -175,7 +175,11 @@
     std::size_t most = (s_.platform.valueBytes - 512) / kBytesPerTask;
     p.slots = most > tasks ? most - tasks : 0;
     p.stamp = s_.replica.stampOf(keys::machine(id));
-    for (const auto& image : m.images) p.images.insert(image.first);
+    if (type) p.fetchGbPerS = type->fetchGbPerS;
+    for (const auto& image : m.images) {
+      p.images.insert(image.id);
+      if (image.held) p.held.insert(image.id);
+    }
     if (record) {
       for (const auto& t : record->tasks) {
         const auto* job = s_.replica.job(t.task.job);
--- a/src/cloud/renting.cpp
+++ b/src/cloud/renting.cpp
@@ -6,6 +6,10 @@
 namespace kestrelhoist {
 namespace {
 
+// Flexible work can wait for a boot and often runs on machines that cost several times its spot
+// price, so for it the spread multiple is zero: the mean, and present demand as the floor.
+constexpr double kFlexible = 0.0;
+
 int ceilMachines(double share) { return static_cast<int>(std::ceil(std::max(0.0, share) - 1e-6)); }
 
 struct Pool {
@@ -77,7 +81,7 @@
   Pool spot = poolOf(in, true);
   Pool ordinary = poolOf(in, false);
 
-  double flexible = std::max(d.flexible.mean + k * d.flexible.spread,
+  double flexible = std::max(d.flexible.mean + kFlexible * d.flexible.spread,
                              d.flexibleOnSpot + d.flexibleOnOrdinary + d.flexibleWaiting);
   bool spotOffered = in.useSpot && std::any_of(in.type->zones.begin(), in.type->zones.end(),
                                                [&](const ZoneId& z) {
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -109,15 +109,19 @@
     if (!job || !job->record.spec || t.state == TaskState::ended) continue;
     const auto& spec = *job->record.spec;
     auto it = std::find_if(m.images.begin(), m.images.end(),
-                           [&](const auto& i) { return i.first == spec.image; });
-    if (it != m.images.end()) m.images.erase(it);
-    m.images.emplace_front(spec.image, spec.imageGb);
+                           [&](const auto& i) { return i.id == spec.image; });
+    bool held = t.state != TaskState::fetching;
+    if (it != m.images.end()) {
+      held = held || it->held;
+      m.images.erase(it);
+    }
+    m.images.push_front({spec.image, spec.imageGb, held});
   }
   const MachineType* type = catalogue_ ? catalogue_->find(m.type) : nullptr;
   double space = type ? type->cacheGb : 0;
   double used = 0;
   for (std::size_t i = 0; i < m.images.size(); ++i) {
-    used += m.images[i].second;
+    used += m.images[i].gb;
     if (space > 0 && used > space) {
       m.images.resize(i);
       break;
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -28,7 +28,12 @@
   Instant firstSeen{};
   bool releaseWanted{};
   std::string releaseWhy;
-  std::deque<std::pair<ImageId, double>> images;  // newest first, with their size
+  struct Image {
+    ImageId id;
+    double gb{};
+    bool held{};  // a task has run with it; otherwise it is being fetched
+  };
+  std::deque<Image> images;  // newest first
   std::set<JobId> failedJobs;                     // since the last success
   std::map<AttemptId, Instant> seenRunning;       // since when, for ages
 
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -13,6 +13,10 @@
 
 namespace {
 
+// Seconds of fetching from which it is worth stopping less important work on a machine that has
+// the image: about what a stop and a launch take.
+constexpr double kWorthStopping = 3.0;
+
 class Planner {
  public:
   explicit Planner(const PlanInput& in) : in_(in) {
@@ -74,11 +78,13 @@
     for (auto index : job.waiting) {
       if (!withinLimit(*job.spec)) break;
       auto machine = bestFree(*job.spec);
-      if (machine) {
+      if (machine && slowToFetch(*job.spec, *machine) && makeRoom(*job.spec, true)) {
+        // Less important work goes from a machine that has the image.
+      } else if (machine) {
         book(*job.spec, *machine);
         state_.soon[*machine] -= job.spec->perTask;
         emit(j, index, *machine);
-      } else if (!makeRoom(*job.spec)) {
+      } else if (!makeRoom(*job.spec, false)) {
         break;  // the next task of this job is no smaller
       }
       ++placed;
@@ -133,7 +139,8 @@
   double score(const JobSpec& spec, std::size_t m) const {
     const auto& machine = in_.machines[m];
     double s = 0;
-    if (machine.images.contains(spec.image)) s += 100;
+    if (machine.images.contains(spec.image)) s += 60;
+    if (machine.held.contains(spec.image)) s += 40;
     if (spec.spotAllowed && machine.spot) s += 30;
     auto here = siblings_.find(m);
     if (spec.kind == JobKind::service && here != siblings_.end()) s -= 200.0 * here->second;
@@ -190,10 +197,23 @@
     return exceeds(used->second, team == in_.teams.end() ? Room{} : team->second.guaranteed);
   }
 
+  double fetchS(const JobSpec& spec, std::size_t m) const {
+    const auto& machine = in_.machines[m];
+    return machine.fetchGbPerS > 0 ? spec.imageGb / machine.fetchGbPerS : 0;
+  }
+
+  // Whether fetching the image there takes longer than stopping less important work elsewhere.
+  bool slowToFetch(const JobSpec& spec, std::size_t m) const {
+    return spec.priority > Priority::low && !in_.machines[m].held.contains(spec.image) &&
+           fetchS(spec, m) > kWorthStopping;
+  }
+
   // Takes room that is about to be free, or stops less important work for it. The task is placed
-  // by a later plan, once the room is free.
-  bool makeRoom(const JobSpec& spec) {
+  // by a later plan, once the room is free. `warm`: only where the image is, and only if that
+  // costs less than the fetch.
+  bool makeRoom(const JobSpec& spec, bool warm) {
     for (std::size_t m = 0; m < in_.machines.size(); ++m) {
+      if (warm && !in_.machines[m].held.contains(spec.image)) continue;
       if (allowed(spec, m) && spec.perTask.fitsIn(state_.soon[m])) {
         state_.soon[m] -= spec.perTask;
         book(spec, m);
@@ -206,6 +226,7 @@
     double bestCost = std::numeric_limits<double>::infinity();
     for (std::size_t m = 0; m < in_.machines.size(); ++m) {
       if (!allowed(spec, m)) continue;
+      if (warm && !in_.machines[m].held.contains(spec.image)) continue;
       std::vector<const PlanTask*> candidates;
       for (const auto& t : in_.machines[m].tasks) {
         if (!state_.stopped.contains(t.id) && mayStopFor(spec, guaranteed, t)) candidates.push_back(&t);
@@ -217,17 +238,18 @@
       });
       Room room = state_.soon[m];
       std::vector<const PlanTask*> victims;
-      double cost = in_.machines[m].images.contains(spec.image) ? 0 : 60;
+      double cost = in_.machines[m].held.contains(spec.image) ? 0 : 20 + fetchS(spec, m);
       auto here = siblings_.find(m);
       if (spec.kind == JobKind::service && here != siblings_.end()) cost += 1000;
       for (const auto* v : candidates) {
         if (spec.perTask.fitsIn(room)) break;
         room += v->spec->perTask;
         victims.push_back(v);
-        cost += v->spec->checkpoints() ? 10 + toSeconds(v->spec->saveTime)
-                                       : 10 + std::min(300.0, toSeconds(v->age));
+        double lost = v->spec->checkpoints() ? toSeconds(v->spec->saveTime) : toSeconds(v->age);
+        cost += 10 + std::min(300.0, lost);
       }
       if (!spec.perTask.fitsIn(room) || cost >= bestCost) continue;
+      if (warm && cost > 10 + 2 * fetchS(spec, m)) continue;
       best = m;
       bestVictims = victims;
       bestCost = cost;
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -30,6 +30,8 @@
   std::size_t slots{};  // how many more tasks its record can hold
   std::vector<PlanTask> tasks;  // everything that may be on it
   std::set<ImageId> images;     // cached or being fetched, as far as known
+  std::set<ImageId> held;       // of these, the ones that need no fetch any more
+  double fetchGbPerS{};
   Revision stamp;
 };
 
