Fix: a new leader rented a second fleet

Cause: it has not heard the machines that are up, and counted them as late boots (log of tfc rough: 29 ordinary machines rented in the second after the takeover, given back 60 s later). Only machines listed as booting can be late now.

--- a/src/app/leader_machines.cpp
+++ b/src/app/leader_machines.cpp
@@ -189,7 +189,10 @@
       r.offer = {m.type, m.zone, m.spot};
       r.up = m.heard();
       r.age = now - m.rentedAt;
-      r.late = !r.up && toSeconds(r.age) > kLateBoot * toSeconds(type.boot);
+      // Only what the cloud lists as booting: a new leader has not heard the machines that are up,
+      // and would rent them all a second time.
+      r.late = !r.up && m.listed == Listed::booting &&
+               toSeconds(r.age) > kLateBoot * toSeconds(type.boot);
       r.idle = !record || record->tasks.empty();
       in.machines.push_back(std::move(r));
     }
