--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -188,6 +188,13 @@
                              [](const auto& m) { return !m.second.tasks.empty(); });
   Duration unheard = now - std::max(lastWorker_, leader_->fleet().lastHeardAny());
   Duration patience = platform_.reportEvery * 3 / 2 + Duration{2000};
+  // After a failover workers first give up on the old leader (4 s) and try nodes in turn (1 s
+  // each). A new leader that resigned meanwhile, because they were heard elsewhere in passing,
+  // would cost all of them their leases.
+  bool heardHere = std::any_of(leader_->fleet().machines().begin(),
+                               leader_->fleet().machines().end(),
+                               [](const auto& m) { return m.second.heard(); });
+  if (!heardHere) patience += Duration{6000};
   if (!expects || unheard < patience) return;
   bool peersHear = false, anyPeer = platform_.peers.empty();
   for (const auto& peer : platform_.peers) {
--- a/src/app/leader.hpp
+++ b/src/app/leader.hpp
@@ -113,7 +113,7 @@
   std::deque<HireRecord> hireWanted_;        // to be written down before it is asked
   std::set<HireId> hireAsked_;
   std::map<HireId, HireResult> hireResults_;  // to be committed
-  std::map<Offer, Instant> refused_;          // until when
+  std::map<Offer, Instant> refused_;          // when last
   std::uint64_t hireCount_ = 0;
 
   struct Series {
--- a/src/app/leader_machines.cpp
+++ b/src/app/leader_machines.cpp
@@ -8,7 +8,8 @@
 namespace kestrelhoist {
 namespace {
 constexpr Duration kRetry{1000};
-constexpr Duration kRefusedPause{15000};
+constexpr Duration kRefusedPause{15000};   // before the same offer is tried again
+constexpr Duration kScarceMemory{60000};  // for how long it counts as hard to get
 constexpr double kLateBoot = 1.7;  // times the boot time: no longer counted on
 }  // namespace
 
@@ -102,7 +103,11 @@
                      }));
     return;
   }
-  if (result.machines.size() < hire.count) refused_[offer] = now + kRefusedPause;
+  if (result.machines.size() < hire.count) {
+    refused_[offer] = now;
+  } else {
+    refused_.erase(offer);
+  }
   spdlog::info("rental {}: {} of {} {} {} in {}", hire.id.value, result.machines.size(),
                hire.count, hire.spot ? "spot" : "ordinary", hire.type.value, hire.zone.value);
   hireResults_[hire.id] = result;
@@ -157,7 +162,7 @@
 void Leader::decideRenting(bool turn) {
   Instant now = s_.runtime.now();
   nextRentCheck_ = now + Duration{1000};
-  std::erase_if(refused_, [&](const auto& r) { return r.second <= now; });
+  std::erase_if(refused_, [&](const auto& r) { return now - r.second > kScarceMemory; });
   auto demand = demandNow();
   for (const auto& type : catalogue_->types) {
     RentInput in;
@@ -170,7 +175,10 @@
     in.spreadMultiple = s_.settings.spreadMultiple;
     in.useSpot = s_.settings.useSpot;
     in.giveBack = turn;
-    for (const auto& [offer, until] : refused_) in.refused.insert(offer);
+    for (const auto& [offer, at] : refused_) {
+      in.scarce.insert(offer);
+      if (now - at < kRefusedPause) in.refused.insert(offer);
+    }
     for (const auto& [id, hire] : s_.replica.hires()) {
       auto result = hireResults_.find(id);
       auto n = result == hireResults_.end() ? hire.count
@@ -247,7 +255,7 @@
     auto allRefused = [&](bool spot) {
       return std::all_of(type.zones.begin(), type.zones.end(), [&](const ZoneId& z) {
         auto r = refused_.find({type.id, z, spot});
-        return r != refused_.end() && r->second > now;
+        return r != refused_.end() && now - r->second <= kScarceMemory;
       });
     };
     bool noOrdinary = allRefused(false);
--- a/src/cloud/renting.cpp
+++ b/src/cloud/renting.cpp
@@ -41,7 +41,8 @@
   for (int i = 0; i < count; ++i) {
     const ZoneId* best = nullptr;
     for (const auto& zone : in.type->zones) {
-      if (in.refused.contains({in.type->id, zone, spot})) continue;
+      Offer offer{in.type->id, zone, spot};
+      if (in.refused.contains(offer) || (in.scarce.contains(offer) && add[zone] > 0)) continue;
       if (!best || pool.perZone[zone] < pool.perZone[*best]) best = &zone;
     }
     if (!best) break;
@@ -49,7 +50,9 @@
     ++pool.have;
     ++add[*best];
   }
-  for (const auto& [zone, n] : add) out.rentals.push_back({{in.type->id, zone, spot}, n});
+  for (const auto& [zone, n] : add) {
+    if (n > 0) out.rentals.push_back({{in.type->id, zone, spot}, n});
+  }
 }
 
 void giveBack(const RentInput& in, bool spot, int surplus, RentDecision& out) {
@@ -85,7 +88,9 @@
                              d.flexibleOnSpot + d.flexibleOnOrdinary + d.flexibleWaiting);
   bool spotOffered = in.useSpot && std::any_of(in.type->zones.begin(), in.type->zones.end(),
                                                [&](const ZoneId& z) {
-                                                 return !in.refused.contains({in.type->id, z, true});
+                                                 // Not by the pause alone: zones whose pauses end in
+                                                 // turn would keep the work waiting for ever.
+                                                 return !in.scarce.contains({in.type->id, z, true});
                                                });
   out.spotTarget = std::max(ceilMachines(flexible - d.flexibleOnOrdinary),
                             spot.inUse + ceilMachines(d.flexibleWaiting));
--- a/src/cloud/renting.hpp
+++ b/src/cloud/renting.hpp
@@ -41,6 +41,7 @@
   std::vector<RentMachine> machines;             // of this type, not leaving
   std::map<Offer, std::uint32_t> ordered;        // rentals asked for, not answered
   std::set<Offer> refused;                       // not to be asked now
+  std::set<Offer> scarce;                        // refused lately: asked for one at a time
   TypeDemand demand;
   double spreadMultiple = 1.0;
   bool useSpot = true;
