--- a/tests/sim/worker.cpp
+++ b/tests/sim/worker.cpp
@@ -23,6 +23,10 @@
   checkLease();
 }
 
+bool SimWorker::leaseOver() const {
+  return world_.clock.now() - lastAnsweredSent_ > ms(world_.settings.leaseS) + 200;
+}
+
 bool SimWorker::frozen() const { return world_.clock.now() < hangUntil_; }
 
 void SimWorker::whenAwake(std::function<void()> f) {
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -47,6 +47,8 @@
   void die();
   void hang(std::int64_t ms);
   void notice(std::int64_t ms);
+  // Hangs beyond its lease: its tasks end before it does anything else.
+  bool leaseOver() const;
   bool gone = false;
   std::string host, zone;
   bool spot;
