--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -17,6 +17,9 @@
 // the image: about what a stop and a launch take.
 constexpr double kWorthStopping = 3.0;
 
+// Points of a machine's score; a spot machine is worth 30, a full one 10 more than an empty one.
+constexpr double kPerSecondOfFetch = 3.0;
+
 class Planner {
  public:
   explicit Planner(const PlanInput& in) : in_(in) {
@@ -30,6 +33,10 @@
       state_.free.push_back(free);
       state_.soon.push_back(soon);
       state_.slots.push_back(m.slots);
+      auto& fetching = state_.fetching.emplace_back();
+      for (const auto& t : m.tasks) {
+        if (!m.held.contains(t.spec->image)) fetching[t.spec->image] = t.spec->imageGb;
+      }
     }
     state_.plan.unplaced.resize(in_.jobs.size());
   }
@@ -102,6 +109,7 @@
   }
 
   void book(const JobSpec& spec, std::size_t m) {
+    if (!in_.machines[m].held.contains(spec.image)) state_.fetching[m][spec.image] = spec.imageGb;
     state_.free[m] -= spec.perTask;
     --state_.slots[m];
     state_.used[spec.team] += spec.perTask;
@@ -139,8 +147,7 @@
   double score(const JobSpec& spec, std::size_t m) const {
     const auto& machine = in_.machines[m];
     double s = 0;
-    if (machine.images.contains(spec.image)) s += 60;
-    if (machine.held.contains(spec.image)) s += 40;
+    s -= kPerSecondOfFetch * startDelayS(spec, m);
     if (spec.spotAllowed && machine.spot) s += 30;
     auto here = siblings_.find(m);
     if (spec.kind == JobKind::service && here != siblings_.end()) s -= 200.0 * here->second;
@@ -202,6 +209,23 @@
     return machine.fetchGbPerS > 0 ? spec.imageGb / machine.fetchGbPerS : 0;
   }
 
+  // How long a task would wait for its image there; fetches of several images share the rate.
+  double startDelayS(const JobSpec& spec, std::size_t m) const {
+    const auto& machine = in_.machines[m];
+    if (machine.held.contains(spec.image) || machine.fetchGbPerS <= 0) return 0;
+    double others = 0;
+    bool underWay = false;
+    for (const auto& [image, gb] : state_.fetching[m]) {
+      if (image == spec.image) {
+        underWay = true;
+      } else {
+        others += gb;
+      }
+    }
+    // Half of a fetch that is under way is over, on average.
+    return ((underWay ? 0.5 : 1.0) * spec.imageGb + others) / machine.fetchGbPerS;
+  }
+
   // Whether fetching the image there takes longer than stopping less important work elsewhere.
   bool slowToFetch(const JobSpec& spec, std::size_t m) const {
     return spec.priority > Priority::low && !in_.machines[m].held.contains(spec.image) &&
@@ -271,6 +295,7 @@
     std::vector<Room> free;  // now, less what this plan books
     std::vector<Room> soon;  // once everything that is stopping has gone
     std::vector<std::size_t> slots;
+    std::vector<std::map<ImageId, double>> fetching;  // images on their way, with their size
     std::map<TeamId, Room> used;
     std::set<std::size_t> changed;
     std::set<AttemptId> stopped;
