--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -137,10 +137,9 @@
     if (!ok || leader_ || !election_.leads()) return;
     if (!election_.isMine(replica_.leader()) || replica_.leaderToken() != election_.token()) return;
     feed_.setInterval(kLeaderRead);
-    leader_ = std::make_unique<Leader>(
-        Leader::Services{runtime_, store_, feed_, replica_, cloud_, http_, planner_, platform_,
-                         settings_},
-        election_.token());
+    leader_ = std::make_unique<Leader>(Leader::Services{runtime_, store_, feed_, replica_, cloud_,
+                                                        http_, planner_, platform_, settings_},
+                                       election_.token());
   });
 }
 
@@ -177,15 +176,13 @@
     return leaveOffice("no contact with the state service for too long", false, Duration{1000});
   }
   if (feed_.loaded() && silent > kStoreSilent && mesh_.peerWithStore(feed_.failingSince())) {
-    return leaveOffice("the state service answers others but not this node", false,
-                       Duration{3000});
+    return leaveOffice("the state service answers others but not this node", false, Duration{3000});
   }
   if (!leader_) return;
   // Hears no worker although there are some: cut off from them, or all are gone.
   std::size_t heard = heardMachines();
-  bool expects = heard > 0 ||
-                 std::any_of(replica_.machines().begin(), replica_.machines().end(),
-                             [](const auto& m) { return !m.second.tasks.empty(); });
+  bool expects = heard > 0 || std::any_of(replica_.machines().begin(), replica_.machines().end(),
+                                          [](const auto& m) { return !m.second.tasks.empty(); });
   Duration unheard = now - std::max(lastWorker_, leader_->fleet().lastHeardAny());
   Duration patience = platform_.reportEvery * 3 / 2 + Duration{2000};
   // After a failover workers first give up on the old leader (4 s) and try nodes in turn (1 s
@@ -223,8 +220,8 @@
 std::size_t Controller::heardMachines() const {
   if (!leader_) return 0;
   const auto& machines = leader_->fleet().machines();
-  return static_cast<std::size_t>(std::count_if(
-      machines.begin(), machines.end(), [](const auto& m) { return m.second.heard(); }));
+  return static_cast<std::size_t>(std::count_if(machines.begin(), machines.end(),
+                                                [](const auto& m) { return m.second.heard(); }));
 }
 
 Response Controller::notHere() const {
--- a/src/app/leader.cpp
+++ b/src/app/leader.cpp
@@ -7,10 +7,10 @@
 namespace kestrelhoist {
 namespace {
 constexpr Duration kTick{250};
-constexpr std::size_t kWaitingPerJob = 256;   // tasks of one job in one plan
-constexpr double kLeaderWriteShare = 0.7;     // the rest is for users' requests
+constexpr std::size_t kWaitingPerJob = 256;  // tasks of one job in one plan
+constexpr double kLeaderWriteShare = 0.7;    // the rest is for users' requests
 constexpr Duration kDirectTimeout{3000};
-constexpr std::size_t kBytesPerTask = 48;     // of a machine's record, generously
+constexpr std::size_t kBytesPerTask = 48;  // of a machine's record, generously
 }  // namespace
 
 Leader::Leader(Services services, Token token)
@@ -133,8 +133,10 @@
   in.maxMachines = s_.platform.transactionOps;
   for (const auto& [id, job] : s_.replica.live()) {
     if (!job->active() || !job->record.spec) continue;
-    if (auto pause = pauses_.find(id); pause != pauses_.end() && now < pause->second.until) continue;
-    auto count = job->tasks - std::min<std::size_t>(job->tasks, job->finishedCount + job->placed.size());
+    if (auto pause = pauses_.find(id); pause != pauses_.end() && now < pause->second.until)
+      continue;
+    auto count =
+        job->tasks - std::min<std::size_t>(job->tasks, job->finishedCount + job->placed.size());
     if (count == 0) continue;
     PlanJob j;
     j.spec = job->record.spec;
--- a/src/app/leader.hpp
+++ b/src/app/leader.hpp
@@ -91,8 +91,8 @@
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
   Fleet fleet_;
   RateBudget writes_;
-  Revision highest_;  // newest revision known: of the feed or of our own commits
-  bool busy_ = false;     // a commit or a plan is under way
+  Revision highest_;   // newest revision known: of the feed or of our own commits
+  bool busy_ = false;  // a commit or a plan is under way
   bool kicked_ = false;
   bool planDirty_ = true;
   bool settled_ = false;  // one report round has passed
@@ -110,7 +110,7 @@
   std::set<MachineId> releasing_;            // asked, no answer yet
   std::set<MachineId> releaseConfirmed_;     // 200, to be committed
 
-  std::deque<HireRecord> hireWanted_;        // to be written down before it is asked
+  std::deque<HireRecord> hireWanted_;  // to be written down before it is asked
   std::set<HireId> hireAsked_;
   std::map<HireId, HireResult> hireResults_;  // to be committed
   std::map<Offer, Instant> refused_;          // when last
--- a/src/app/leader_commits.cpp
+++ b/src/app/leader_commits.cpp
@@ -42,48 +42,48 @@
 void Leader::send(std::shared_ptr<Pending> pending) {
   writes_.take(s_.runtime.now(), static_cast<double>(pending->transaction.writes.size()));
   s_.store.commit(pending->transaction, kCommitTimeout, guard([this, pending](CommitResult r) {
-    switch (r.outcome) {
-      case Outcome::applied:
-        for (const auto& w : pending->transaction.writes) {
-          s_.replica.apply({w.key, w.value, r.epoch});
-        }
-        highest_ = std::max(highest_, r.epoch);
-        busy_ = false;
-        planDirty_ = true;
-        spdlog::debug("committed at {}: {}", r.epoch.value, pending->what);
-        if (pending->applied) pending->applied();
-        kick();
-        return;
-      case Outcome::conflict:
-        spdlog::info("commit in conflict, reading again: {}", pending->what);
-        s_.feed.fresh(guard([this](bool ok) {
-          (void)ok;
-          busy_ = false;
-          planDirty_ = true;
-          kick();
-        }));
-        return;
-      case Outcome::rejected:
-      case Outcome::noLease:
-        spdlog::error("commit rejected: {}", pending->what);
-        s_.runtime.after(Duration{1000}, guard([this] {
-                           busy_ = false;
-                           kick();
-                         }));
-        return;
-      case Outcome::refused:
-      case Outcome::unknown:
-        s_.runtime.after(kRetry, guard([this, pending] { send(pending); }));
-        return;
-    }
-  }));
+                    switch (r.outcome) {
+                      case Outcome::applied:
+                        for (const auto& w : pending->transaction.writes) {
+                          s_.replica.apply({w.key, w.value, r.epoch});
+                        }
+                        highest_ = std::max(highest_, r.epoch);
+                        busy_ = false;
+                        planDirty_ = true;
+                        spdlog::debug("committed at {}: {}", r.epoch.value, pending->what);
+                        if (pending->applied) pending->applied();
+                        kick();
+                        return;
+                      case Outcome::conflict:
+                        spdlog::info("commit in conflict, reading again: {}", pending->what);
+                        s_.feed.fresh(guard([this](bool ok) {
+                          (void)ok;
+                          busy_ = false;
+                          planDirty_ = true;
+                          kick();
+                        }));
+                        return;
+                      case Outcome::rejected:
+                      case Outcome::noLease:
+                        spdlog::error("commit rejected: {}", pending->what);
+                        s_.runtime.after(Duration{1000}, guard([this] {
+                                           busy_ = false;
+                                           kick();
+                                         }));
+                        return;
+                      case Outcome::refused:
+                      case Outcome::unknown:
+                        s_.runtime.after(kRetry, guard([this, pending] { send(pending); }));
+                        return;
+                    }
+                  }));
 }
 
 // What reports have proven: tasks done, gone or lost.
 std::optional<Leader::Pending> Leader::nextFacts() {
   const std::size_t limit = s_.platform.transactionOps;
   Transaction t = begin();
-  std::map<std::string, TaskBits> progress;       // new values by key
+  std::map<std::string, TaskBits> progress;  // new values by key
   std::map<JobId, std::uint32_t> newlyFinished;
   std::set<std::string> progressKeys;
   std::vector<std::pair<AttemptId, Gone>> settled;
@@ -110,8 +110,8 @@
           job->record.spec->kind != JobKind::service && !job->isFinished(attempt.task.index)) {
         std::uint32_t chunk = attempt.task.index / TaskBits::kPerChunk;
         std::string key = keys::progress(attempt.task.job, chunk);
-        std::size_t more = (progress.contains(key) ? 0 : 1) +
-                           (newlyFinished.contains(attempt.task.job) ? 0 : 1);
+        std::size_t more =
+            (progress.contains(key) ? 0 : 1) + (newlyFinished.contains(attempt.task.job) ? 0 : 1);
         if (t.writes.size() + 1 + progress.size() + newlyFinished.size() + more > limit) continue;
         auto [it, isNew] = progress.try_emplace(key);
         if (isNew) {
@@ -157,7 +157,8 @@
       Pause& pause = pauses_[job];
       pause.failures = std::min(pause.failures + 1, 16);
       auto seconds = std::min<std::size_t>(kMaxPauseS, 1UL << std::min(pause.failures - 1, 6));
-      pause.until = now + Duration{static_cast<std::int64_t>(gone == Gone::failed ? seconds : 1) * 1000};
+      pause.until =
+          now + Duration{static_cast<std::int64_t>(gone == Gone::failed ? seconds : 1) * 1000};
       spdlog::info("task {} {}: its job pauses {} ms", attempt.str(),
                    gone == Gone::failed ? "failed" : "was refused", (pause.until - now).count());
     }
@@ -329,8 +330,7 @@
       planDirty_ = true;
       continue;
     }
-    if (!jobs.contains(p.task.job) &&
-        1 + records.size() + 1 + jobs.size() + 1 > maxConditions) {
+    if (!jobs.contains(p.task.job) && 1 + records.size() + 1 + jobs.size() + 1 > maxConditions) {
       planDirty_ = true;
       continue;
     }
--- a/src/app/leader_machines.cpp
+++ b/src/app/leader_machines.cpp
@@ -8,9 +8,9 @@
 namespace kestrelhoist {
 namespace {
 constexpr Duration kRetry{1000};
-constexpr Duration kRefusedPause{15000};   // before the same offer is tried again
+constexpr Duration kRefusedPause{15000};  // before the same offer is tried again
 constexpr Duration kScarceMemory{60000};  // for how long it counts as hard to get
-constexpr double kLateBoot = 1.7;  // times the boot time: no longer counted on
+constexpr double kLateBoot = 1.7;         // times the boot time: no longer counted on
 }  // namespace
 
 void Leader::readTypes() {
@@ -69,18 +69,19 @@
   if (batch.empty() || !s_.cloud.mayAsk()) return;
   releasing_.insert(batch.begin(), batch.end());
   s_.cloud.release(batch, guard([this, batch](bool ok) {
-    if (!ok) {
-      spdlog::info("release of {} machines got no 200, asking again", batch.size());
-      s_.runtime.after(kRetry, guard([this] { releasing_.clear(); }));
-      return;
-    }
-    releasing_.clear();
-    for (const auto& id : batch) {
-      spdlog::info("machine {} released", id.value);
-      releaseConfirmed_.insert(id);
-    }
-    kick();
-  }));
+                     if (!ok) {
+                       spdlog::info("release of {} machines got no 200, asking again",
+                                    batch.size());
+                       s_.runtime.after(kRetry, guard([this] { releasing_.clear(); }));
+                       return;
+                     }
+                     releasing_.clear();
+                     for (const auto& id : batch) {
+                       spdlog::info("machine {} released", id.value);
+                       releaseConfirmed_.insert(id);
+                     }
+                     kick();
+                   }));
 }
 
 void Leader::startHires() {
@@ -108,8 +109,8 @@
   } else {
     refused_.erase(offer);
   }
-  spdlog::info("rental {}: {} of {} {} {} in {}", hire.id.value, result.machines.size(),
-               hire.count, hire.spot ? "spot" : "ordinary", hire.type.value, hire.zone.value);
+  spdlog::info("rental {}: {} of {} {} {} in {}", hire.id.value, result.machines.size(), hire.count,
+               hire.spot ? "spot" : "ordinary", hire.type.value, hire.zone.value);
   hireResults_[hire.id] = result;
   nextRentCheck_ = now;
   kick();
@@ -181,8 +182,9 @@
     }
     for (const auto& [id, hire] : s_.replica.hires()) {
       auto result = hireResults_.find(id);
-      auto n = result == hireResults_.end() ? hire.count
-                                            : static_cast<std::uint32_t>(result->second.machines.size());
+      auto n = result == hireResults_.end()
+                   ? hire.count
+                   : static_cast<std::uint32_t>(result->second.machines.size());
       in.ordered[{hire.type, hire.zone, hire.spot}] += n;
     }
     for (const auto& h : hireWanted_) in.ordered[{h.type, h.zone, h.spot}] += h.count;
@@ -214,8 +216,8 @@
           in.demand.flexibleWaiting, in.demand.flexible.mean, in.demand.flexible.spread,
           out.ordinaryTarget, out.spotTarget, in.machines.size());
     }
-    auto most = static_cast<std::uint32_t>(
-        std::min<std::size_t>(50, s_.platform.transactionOps - 1));
+    auto most =
+        static_cast<std::uint32_t>(std::min<std::size_t>(50, s_.platform.transactionOps - 1));
     std::size_t have = in.machines.size();
     for (const auto& [offer, n] : in.ordered) have += n;
     for (const auto& rental : out.rentals) {
@@ -249,7 +251,8 @@
     const TypeDemand& d = demand[type.id];
     auto horizon = static_cast<std::size_t>(
         std::max(1.0, std::ceil(toSeconds(type.boot) / toSeconds(s_.settings.window))));
-    auto [it, isNew] = forecasts_.try_emplace(type.id, Series{Forecast(horizon), Forecast(horizon)});
+    auto [it, isNew] =
+        forecasts_.try_emplace(type.id, Series{Forecast(horizon), Forecast(horizon)});
     // DESIGN names it: refused rents leave tasks waiting and push the forecast toward room that
     // can't come. While every zone refuses, waiting work is not taken for demand.
     auto allRefused = [&](bool spot) {
@@ -285,8 +288,8 @@
   auto at = countField(*stored, "at");
   const Json* types = field(*stored, "types");
   if (!at || !types || !types->is_object()) return;
-  auto age = Duration{std::max<std::int64_t>(
-      0, s_.runtime.wallMillis() - static_cast<std::int64_t>(*at))};
+  auto age =
+      Duration{std::max<std::int64_t>(0, s_.runtime.wallMillis() - static_cast<std::int64_t>(*at))};
   auto missed = static_cast<std::size_t>(age / s_.settings.window);
   auto demand = demandNow();
   for (const auto& type : catalogue_->types) {
--- a/src/base/event_loop.cpp
+++ b/src/base/event_loop.cpp
@@ -156,12 +156,18 @@
 
 const char* methodName(evhttp_cmd_type type) {
   switch (type) {
-    case EVHTTP_REQ_GET: return "GET";
-    case EVHTTP_REQ_POST: return "POST";
-    case EVHTTP_REQ_PUT: return "PUT";
-    case EVHTTP_REQ_DELETE: return "DELETE";
-    case EVHTTP_REQ_HEAD: return "HEAD";
-    default: return "OTHER";
+    case EVHTTP_REQ_GET:
+      return "GET";
+    case EVHTTP_REQ_POST:
+      return "POST";
+    case EVHTTP_REQ_PUT:
+      return "PUT";
+    case EVHTTP_REQ_DELETE:
+      return "DELETE";
+    case EVHTTP_REQ_HEAD:
+      return "HEAD";
+    default:
+      return "OTHER";
   }
 }
 
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -7,8 +7,8 @@
 namespace kestrelhoist {
 
 bool setupLogging(const std::string& member) {
-  auto logger = std::make_shared<spdlog::logger>(
-      member.empty() ? "kestrelhoist" : member, std::make_shared<spdlog::sinks::stderr_sink_mt>());
+  auto logger = std::make_shared<spdlog::logger>(member.empty() ? "kestrelhoist" : member,
+                                                 std::make_shared<spdlog::sinks::stderr_sink_mt>());
   logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %n %l %v");
   spdlog::set_default_logger(logger);
   const char* level = std::getenv("LOG_LEVEL");
--- a/src/cloud/client.cpp
+++ b/src/cloud/client.cpp
@@ -48,35 +48,34 @@
                {"site", h.zone.value},
                {"loaners", h.spot},
                {"count", h.count}};
-  http_.send(address_, {"POST", "/hosts", encodeBody(body)}, kTimeout,
-             [done = std::move(done)](const std::optional<Response>& r) {
-               HireResult result;
-               auto body = r ? decodeBody(r->body) : std::nullopt;
-               if (r && r->status == 200 && body) {
-                 const Json* hosts = field(*body, "hosts");
-                 if (hosts && hosts->is_array()) {
-                   result.kind = HireResult::Kind::hired;
-                   for (const auto& h : *hosts) {
-                     if (h.is_string()) result.machines.emplace_back(h.get<std::string>());
-                   }
-                 }
-               } else if (r && r->status == 503 && body &&
-                          textField(*body, "error") == "no capacity") {
-                 result.kind = HireResult::Kind::noCapacity;
-               } else if (r && r->status == 400) {
-                 result.kind = HireResult::Kind::rejected;
-               }
-               done(std::move(result));
-             });
+  http_.send(
+      address_, {"POST", "/hosts", encodeBody(body)}, kTimeout,
+      [done = std::move(done)](const std::optional<Response>& r) {
+        HireResult result;
+        auto body = r ? decodeBody(r->body) : std::nullopt;
+        if (r && r->status == 200 && body) {
+          const Json* hosts = field(*body, "hosts");
+          if (hosts && hosts->is_array()) {
+            result.kind = HireResult::Kind::hired;
+            for (const auto& h : *hosts) {
+              if (h.is_string()) result.machines.emplace_back(h.get<std::string>());
+            }
+          }
+        } else if (r && r->status == 503 && body && textField(*body, "error") == "no capacity") {
+          result.kind = HireResult::Kind::noCapacity;
+        } else if (r && r->status == 400) {
+          result.kind = HireResult::Kind::rejected;
+        }
+        done(std::move(result));
+      });
 }
 
 void CloudClient::release(const std::vector<MachineId>& machines, std::function<void(bool)> done) {
   Json names = Json::array();
   for (const auto& m : machines) names.push_back(m.value);
-  http_.send(address_, {"POST", "/hosts/release", encodeBody({{"hosts", std::move(names)}})},
-             kTimeout, [done = std::move(done)](const std::optional<Response>& r) {
-               done(r && r->status == 200);
-             });
+  http_.send(
+      address_, {"POST", "/hosts/release", encodeBody({{"hosts", std::move(names)}})}, kTimeout,
+      [done = std::move(done)](const std::optional<Response>& r) { done(r && r->status == 200); });
 }
 
 void CloudClient::list(std::function<void(std::optional<std::vector<ListedMachine>>)> done) {
--- a/src/cloud/client.hpp
+++ b/src/cloud/client.hpp
@@ -3,8 +3,8 @@
 
 #include <functional>
 
-#include "cloud/catalogue.hpp"
 #include "base/rate.hpp"
+#include "cloud/catalogue.hpp"
 #include "store/records.hpp"
 
 namespace kestrelhoist {
--- a/src/cloud/renting.cpp
+++ b/src/cloud/renting.cpp
@@ -13,8 +13,8 @@
 int ceilMachines(double share) { return static_cast<int>(std::ceil(std::max(0.0, share) - 1e-6)); }
 
 struct Pool {
-  int have{};    // counts toward the target: up, booting in time, ordered
-  int inUse{};   // with something on them
+  int have{};   // counts toward the target: up, booting in time, ordered
+  int inUse{};  // with something on them
   std::map<ZoneId, int> perZone;
 };
 
@@ -86,22 +86,22 @@
 
   double flexible = std::max(d.flexible.mean + kFlexible * d.flexible.spread,
                              d.flexibleOnSpot + d.flexibleOnOrdinary + d.flexibleWaiting);
-  bool spotOffered = in.useSpot && std::any_of(in.type->zones.begin(), in.type->zones.end(),
-                                               [&](const ZoneId& z) {
-                                                 // Not by the pause alone: zones whose pauses end in
-                                                 // turn would keep the work waiting for ever.
-                                                 return !in.scarce.contains({in.type->id, z, true});
-                                               });
+  bool spotOffered =
+      in.useSpot && std::any_of(in.type->zones.begin(), in.type->zones.end(), [&](const ZoneId& z) {
+        // Not by the pause alone: zones whose pauses end in
+        // turn would keep the work waiting for ever.
+        return !in.scarce.contains({in.type->id, z, true});
+      });
   out.spotTarget = std::max(ceilMachines(flexible - d.flexibleOnOrdinary),
                             spot.inUse + ceilMachines(d.flexibleWaiting));
   if (!in.useSpot) out.spotTarget = spot.inUse;
 
   // Flexible demand that spot machines can't meet now goes to ordinary ones.
-  double overflow = spotOffered ? d.flexibleOnOrdinary
-                                : std::max(d.flexibleOnOrdinary, flexible - spot.have);
+  double overflow =
+      spotOffered ? d.flexibleOnOrdinary : std::max(d.flexibleOnOrdinary, flexible - spot.have);
   double waitingHere =
-      d.firmWaiting + (spotOffered ? 0.0
-                                   : std::max(0.0, d.flexibleWaiting - (spot.have - spot.inUse)));
+      d.firmWaiting +
+      (spotOffered ? 0.0 : std::max(0.0, d.flexibleWaiting - (spot.have - spot.inUse)));
   double firm = std::max(d.firm.mean + k * d.firm.spread, d.firmBooked + d.firmWaiting);
   out.ordinaryTarget =
       std::max(ceilMachines(firm + overflow), ordinary.inUse + ceilMachines(waitingHere));
@@ -117,7 +117,8 @@
     for (const auto& [offer, n] : in.ordered) {
       if (offer.zone == zone && offer.type == in.type->id) coming += static_cast<int>(n);
     }
-    for (const auto& r : out.rentals) coming += r.offer.zone == zone ? static_cast<int>(r.count) : 0;
+    for (const auto& r : out.rentals)
+      coming += r.offer.zone == zone ? static_cast<int>(r.count) : 0;
     int missing = ceilMachines(need) - coming;
     Offer offer{in.type->id, zone, false};
     if (missing > 0 && !in.refused.contains(offer)) {
--- a/src/cloud/renting.hpp
+++ b/src/cloud/renting.hpp
@@ -22,9 +22,9 @@
 struct RentMachine {
   MachineId id;
   Offer offer;
-  bool up{};      // has reported
-  bool late{};    // booting for so long that it no longer counts
-  bool idle{};    // nothing on it or meant for it
+  bool up{};    // has reported
+  bool late{};  // booting for so long that it no longer counts
+  bool idle{};  // nothing on it or meant for it
   Duration age{};
 };
 
@@ -38,10 +38,10 @@
 
 struct RentInput {
   const MachineType* type{};
-  std::vector<RentMachine> machines;             // of this type, not leaving
-  std::map<Offer, std::uint32_t> ordered;        // rentals asked for, not answered
-  std::set<Offer> refused;                       // not to be asked now
-  std::set<Offer> scarce;                        // refused lately: asked for one at a time
+  std::vector<RentMachine> machines;       // of this type, not leaving
+  std::map<Offer, std::uint32_t> ordered;  // rentals asked for, not answered
+  std::set<Offer> refused;                 // not to be asked now
+  std::set<Offer> scarce;                  // refused lately: asked for one at a time
   TypeDemand demand;
   double spreadMultiple = 1.0;
   bool useSpot = true;
--- a/src/config/config_test.cpp
+++ b/src/config/config_test.cpp
@@ -72,9 +72,12 @@
 }
 
 TEST(PlatformSettings, FaultsNameFileAndField) {
-  EXPECT_EQ(faultOf(without("lease_s = 11.0")), "settings.toml: settings.workers.lease_s: is missing");
-  EXPECT_EQ(faultOf(without("cloud = \"127.0.0.3:1\"")), "settings.toml: external.cloud: is missing");
-  EXPECT_NE(faultOf(without(".1:8080")).find("settings.toml: api_addr: must be"), std::string::npos);
+  EXPECT_EQ(faultOf(without("lease_s = 11.0")),
+            "settings.toml: settings.workers.lease_s: is missing");
+  EXPECT_EQ(faultOf(without("cloud = \"127.0.0.3:1\"")),
+            "settings.toml: external.cloud: is missing");
+  EXPECT_NE(faultOf(without(".1:8080")).find("settings.toml: api_addr: must be"),
+            std::string::npos);
   EXPECT_NE(faultOf("member = ").find("settings.toml: line 1"), std::string::npos);
 }
 
--- a/src/config/platform.cpp
+++ b/src/config/platform.cpp
@@ -45,8 +45,8 @@
   }
   // The tables of a list that may be missing.
   std::vector<std::pair<std::string, const toml::table*>> tables(const toml::table& t,
-                                                                  const std::string& at,
-                                                                  const char* key) const {
+                                                                 const std::string& at,
+                                                                 const char* key) const {
     std::vector<std::pair<std::string, const toml::table*>> out;
     if (!t.contains(key)) return out;
     const auto* list = t[key].as_array();
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -65,12 +65,12 @@
   const auto* record = replica_.machine(m.id);
   // Facts about attempts that are off the record by now are settled.
   std::erase_if(m.memory.gone, [&](const auto& g) {
-    return !record || std::find(record->tasks.begin(), record->tasks.end(), g.first) ==
-                          record->tasks.end();
+    return !record ||
+           std::find(record->tasks.begin(), record->tasks.end(), g.first) == record->tasks.end();
   });
   std::erase_if(m.memory.stops, [&](const auto& s) {
-    return !record || std::find(record->tasks.begin(), record->tasks.end(), s.first) ==
-                          record->tasks.end();
+    return !record ||
+           std::find(record->tasks.begin(), record->tasks.end(), s.first) == record->tasks.end();
   });
   bool launch = mayLaunch && !(record && record->leaving);
   return reconcile(m.memory, record, token_, launch,
@@ -274,7 +274,8 @@
     // zone is silent, wait until its workers have lost their leases anyway.
     bool zoneSilent = zones[m.zone].first == 0 && zones[m.zone].second > 1;
     Duration patience = silentAfter();
-    if (zoneSilent || reporting == 0) patience = std::max(patience, platform_.workerLease) + 2 * platform_.reportEvery;
+    if (zoneSilent || reporting == 0)
+      patience = std::max(patience, platform_.workerLease) + 2 * platform_.reportEvery;
     if (!m.heard()) patience += silentAfter() / 2;
     if (silent > patience) {
       wantRelease(m, "silent for " + std::to_string(silent.count()) + " ms");
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -33,9 +33,9 @@
     double gb{};
     bool held{};  // a task has run with it; otherwise it is being fetched
   };
-  std::deque<Image> images;  // newest first
-  std::set<JobId> failedJobs;                     // since the last success
-  std::map<AttemptId, Instant> seenRunning;       // since when, for ages
+  std::deque<Image> images;                  // newest first
+  std::set<JobId> failedJobs;                // since the last success
+  std::map<AttemptId, Instant> seenRunning;  // since when, for ages
 
   bool heard() const { return memory.last.has_value(); }
 };
--- a/src/fleet/reconcile.cpp
+++ b/src/fleet/reconcile.cpp
@@ -10,10 +10,14 @@
 
 Gone goneFrom(EndCause cause) {
   switch (cause) {
-    case EndCause::done: return Gone::done;
-    case EndCause::stopped: return Gone::stopped;
-    case EndCause::error: return Gone::failed;
-    default: return Gone::refused;
+    case EndCause::done:
+      return Gone::done;
+    case EndCause::stopped:
+      return Gone::stopped;
+    case EndCause::error:
+      return Gone::failed;
+    default:
+      return Gone::refused;
   }
 }
 
--- a/src/fleet/reconcile_test.cpp
+++ b/src/fleet/reconcile_test.cpp
@@ -27,8 +27,9 @@
   }
   std::vector<Order> hear(const Report& r, bool mayLaunch = true) {
     takeReport(memory, r, Instant{0});
-    return reconcile(memory, &record, Token{5}, mayLaunch,
-                     [&](const AttemptId&) { return Wish{stop, Duration{0}}; });
+    return reconcile(memory, &record, Token{5}, mayLaunch, [&](const AttemptId&) {
+      return Wish{stop, Duration{0}};
+    });
   }
   bool gone() { return memory.gone.contains(kTask); }
 };
@@ -115,8 +116,14 @@
 }
 
 TEST(ReportCodec, AListThatCannotBeReadWholeIsNoReport) {
-  Json v = {{"host", "host-1"}, {"addr", "10.1.0.1:9"}, {"rig", "g"},  {"site", "a"},
-            {"loaners", true},  {"tenure", 1},          {"tick", 1},   {"baton", 1},
+  Json v = {{"host", "host-1"},
+            {"addr", "10.1.0.1:9"},
+            {"rig", "g"},
+            {"site", "a"},
+            {"loaners", true},
+            {"tenure", 1},
+            {"tick", 1},
+            {"baton", 1},
             {"shards", Json::array({{{"shard", "j-1"}, {"try", 1}, {"phase", "running"}}})}};
   EXPECT_FALSE(reportFrom(v));
   v["shards"][0]["shard"] = "j-000001/2";
--- a/src/fleet/report.cpp
+++ b/src/fleet/report.cpp
@@ -52,8 +52,8 @@
   auto tick = countField(v, "tick");
   auto token = countField(v, "baton");
   if (!machine || machine->empty() || machine->size() > 150 ||
-      machine->find_first_of(" /?&#%") != std::string::npos || !address || !type || !zone || !tenure ||
-      !tick) {
+      machine->find_first_of(" /?&#%") != std::string::npos || !address || !type || !zone ||
+      !tenure || !tick) {
     return std::nullopt;
   }
   Report r;
@@ -77,8 +77,8 @@
       auto state = phase ? stateFrom(*phase) : std::nullopt;
       // A list that can't be read whole proves nothing about what is missing from it.
       if (!id || !attempt || !state) return std::nullopt;
-      r.tasks.push_back({{*id, Attempt{*attempt}}, *state,
-                         causeFrom(textField(t, "cause").value_or(""))});
+      r.tasks.push_back(
+          {{*id, Attempt{*attempt}}, *state, causeFrom(textField(t, "cause").value_or(""))});
     }
   } else {
     return std::nullopt;
@@ -92,12 +92,16 @@
   for (const auto& o : orders) {
     Json v = {{"shard", o.id.task.str()}, {"try", o.id.attempt.value}};
     switch (o.kind) {
-      case Order::Kind::launch: v["verb"] = "launch"; break;
+      case Order::Kind::launch:
+        v["verb"] = "launch";
+        break;
       case Order::Kind::stop:
         v["verb"] = "stop";
         v["wind_down_s"] = toSeconds(o.grace);
         break;
-      case Order::Kind::clear: v["verb"] = "clear"; break;
+      case Order::Kind::clear:
+        v["verb"] = "clear";
+        break;
     }
     list.push_back(std::move(v));
   }
--- a/src/forecast/forecast.cpp
+++ b/src/forecast/forecast.cpp
@@ -74,7 +74,10 @@
 }
 
 Json Forecast::toJson() const {
-  return {{"horizon", horizon_}, {"seen", seen_}, {"recent", recent_}, {"weights", weights_},
+  return {{"horizon", horizon_},
+          {"seen", seen_},
+          {"recent", recent_},
+          {"weights", weights_},
           {"residual", residual_}};
 }
 
--- a/src/jobs/service.cpp
+++ b/src/jobs/service.cpp
@@ -12,9 +12,12 @@
 
 const char* phaseWord(const JobState& job) {
   switch (job.record.phase) {
-    case JobPhase::done: return "done";
-    case JobPhase::cancelled: return "withdrawn";
-    default: return job.placed.empty() ? "pending" : "running";
+    case JobPhase::done:
+      return "done";
+    case JobPhase::cancelled:
+      return "withdrawn";
+    default:
+      return job.placed.empty() ? "pending" : "running";
   }
 }
 
@@ -228,9 +231,8 @@
       }
       if (r.outcome == Outcome::conflict && triesLeft > 0) return abort(id, triesLeft - 1, respond);
       if (r.outcome == Outcome::refused && triesLeft > 0 && feed_.reachable()) {
-        runtime_.after(Duration{150}, [this, id, triesLeft, respond] {
-          abort(id, triesLeft - 1, respond);
-        });
+        runtime_.after(Duration{150},
+                       [this, id, triesLeft, respond] { abort(id, triesLeft - 1, respond); });
         return;
       }
       respond(retryLater(503));
--- a/src/jobs/spec.cpp
+++ b/src/jobs/spec.cpp
@@ -42,9 +42,12 @@
 
 const char* kindWord(JobKind kind) {
   switch (kind) {
-    case JobKind::service: return "service";
-    case JobKind::gang: return "gang";
-    default: return "array";
+    case JobKind::service:
+      return "service";
+    case JobKind::gang:
+      return "gang";
+    default:
+      return "array";
   }
 }
 
@@ -166,9 +169,7 @@
   }
   s.jobClass = *jobClass;
   s.team = TeamId{*team};
-  s.kind = *kind == "service" ? JobKind::service
-           : *kind == "gang"  ? JobKind::gang
-                              : JobKind::array;
+  s.kind = *kind == "service" ? JobKind::service : *kind == "gang" ? JobKind::gang : JobKind::array;
   s.priority = static_cast<Priority>(*priority);
   s.tasks = static_cast<std::uint32_t>(*tasks);
   s.perTask = {numberField(v, "cpus").value_or(0), numberField(v, "gpus").value_or(0),
--- a/src/leadership/election.hpp
+++ b/src/leadership/election.hpp
@@ -15,8 +15,8 @@
  public:
   struct Settings {
     MemberId self;
-    std::string boot;        // unique for each life of the process
-    Duration life{3000};     // of the lease
+    std::string boot;     // unique for each life of the process
+    Duration life{3000};  // of the lease
     Duration renewEvery{750};
   };
   // What the newest read says of the leader key.
--- a/src/leadership/mesh.cpp
+++ b/src/leadership/mesh.cpp
@@ -82,8 +82,7 @@
   }
 }
 
-void Mesh::forward(const MemberId& member, const Request& request, Duration timeout,
-                   OnReply done) {
+void Mesh::forward(const MemberId& member, const Request& request, Duration timeout, OnReply done) {
   for (const auto& peer : peers_) {
     if (peer.member != member) continue;
     http_.send(peer.address, {request.method, "/mesh/user" + request.path, request.body}, timeout,
--- a/src/leadership/mesh.hpp
+++ b/src/leadership/mesh.hpp
@@ -12,7 +12,7 @@
 
 struct Sighting {
   MemberId member;
-  Token token;            // highest known
+  Token token;  // highest known
   bool leading{};
   Duration storeAge{};    // since its last successful read
   Duration workersAge{};  // since it last heard a worker
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -253,7 +253,8 @@
       if (warm && !in_.machines[m].held.contains(spec.image)) continue;
       std::vector<const PlanTask*> candidates;
       for (const auto& t : in_.machines[m].tasks) {
-        if (!state_.stopped.contains(t.id) && mayStopFor(spec, guaranteed, t)) candidates.push_back(&t);
+        if (!state_.stopped.contains(t.id) && mayStopFor(spec, guaranteed, t))
+          candidates.push_back(&t);
       }
       // The least important and, among equals, the youngest loses the least.
       std::sort(candidates.begin(), candidates.end(), [](const PlanTask* a, const PlanTask* b) {
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -16,8 +16,8 @@
 struct PlanTask {
   AttemptId id;
   std::shared_ptr<const JobSpec> spec;
-  bool stopping{};      // its stop was asked for: the room will be free soon
-  Duration age{};       // since it was placed, as far as known
+  bool stopping{};  // its stop was asked for: the room will be free soon
+  Duration age{};   // since it was placed, as far as known
 };
 
 struct PlanMachine {
@@ -25,9 +25,9 @@
   TypeId type;
   ZoneId zone;
   bool spot{};
-  bool usable{};   // may get new work now
-  Room room;       // of the whole machine
-  std::size_t slots{};  // how many more tasks its record can hold
+  bool usable{};                // may get new work now
+  Room room;                    // of the whole machine
+  std::size_t slots{};          // how many more tasks its record can hold
   std::vector<PlanTask> tasks;  // everything that may be on it
   std::set<ImageId> images;     // cached or being fetched, as far as known
   std::set<ImageId> held;       // of these, the ones that need no fetch any more
@@ -39,8 +39,8 @@
   std::shared_ptr<const JobSpec> spec;
   std::int64_t acceptedAtMs{};
   double remainingS{};  // estimated run time of all its tasks that are not done, together
-  std::vector<std::uint32_t> waiting;  // first tasks to place, bounded
-  std::uint32_t waitingCount{};        // all of them
+  std::vector<std::uint32_t> waiting;       // first tasks to place, bounded
+  std::uint32_t waitingCount{};             // all of them
   std::map<ZoneId, std::uint32_t> perZone;  // tasks that may be on machines
   Revision stamp;
 };
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -79,8 +79,8 @@
 void StoreClient::changes(const std::string& prefix, Revision since, Duration timeout,
                           std::function<void(ChangesResult)> done) {
   budget_.take(runtime_.now(), 1);
-  std::string path = "/changes?prefix=" + prefix + "&since=" + std::to_string(since.value) +
-                     "&wait_ms=0";
+  std::string path =
+      "/changes?prefix=" + prefix + "&since=" + std::to_string(since.value) + "&wait_ms=0";
   http_.send(address_, {"GET", path, ""}, timeout,
              [done = std::move(done)](std::optional<Response> r) {
                ChangesResult result;
@@ -150,10 +150,10 @@
              });
 }
 
-void StoreClient::renewLease(LeaseId id, Duration timeout,
-                             std::function<void(LeaseOutcome)> done) {
+void StoreClient::renewLease(LeaseId id, Duration timeout, std::function<void(LeaseOutcome)> done) {
   budget_.take(runtime_.now(), 1);
-  http_.send(address_, {"POST", "/leases/" + std::to_string(id.value) + "/renew", encodeBody(Json::object())},
+  http_.send(address_,
+             {"POST", "/leases/" + std::to_string(id.value) + "/renew", encodeBody(Json::object())},
              timeout, [done = std::move(done)](std::optional<Response> r) {
                if (r && r->status == 200) return done(LeaseOutcome::ok);
                if (r && r->status == 404) return done(LeaseOutcome::gone);
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -71,7 +71,8 @@
                std::function<void(ChangesResult)> done);
   void list(const std::string& prefix, const std::string& since, Duration timeout,
             std::function<void(ListResult)> done);
-  void grantLease(Duration life, Duration timeout, std::function<void(std::optional<LeaseId>)> done);
+  void grantLease(Duration life, Duration timeout,
+                  std::function<void(std::optional<LeaseId>)> done);
   void renewLease(LeaseId id, Duration timeout, std::function<void(LeaseOutcome)> done);
   void dropLease(LeaseId id);
 
--- a/src/store/feed.hpp
+++ b/src/store/feed.hpp
@@ -11,8 +11,8 @@
 class Feed {
  public:
   struct Settings {
-    Duration minGap{50};      // between the starts of two reads
-    Duration timeout{1000};   // of one read
+    Duration minGap{50};        // between the starts of two reads
+    Duration timeout{1000};     // of one read
     Duration staleAfter{2000};  // without a successful read the store counts as out of reach
   };
   Feed(Runtime& runtime, StoreClient& store, Replica& replica, Settings settings);
@@ -28,7 +28,9 @@
   // When the last successful read was sent.
   Instant lastContact() const { return lastContact_; }
   Duration contactAge() const { return runtime_.now() - lastContact_; }
-  bool reachable() const { return loaded_ && failures_ == 0 && contactAge() < settings_.staleAfter; }
+  bool reachable() const {
+    return loaded_ && failures_ == 0 && contactAge() < settings_.staleAfter;
+  }
   // When the first of the reads that fail now was sent.
   Instant failingSince() const { return failingSince_; }
 
--- a/src/store/records.cpp
+++ b/src/store/records.cpp
@@ -49,9 +49,12 @@
 namespace {
 const char* phaseWord(JobPhase p) {
   switch (p) {
-    case JobPhase::done: return "done";
-    case JobPhase::cancelled: return "cancelled";
-    default: return "active";
+    case JobPhase::done:
+      return "done";
+    case JobPhase::cancelled:
+      return "cancelled";
+    default:
+      return "active";
   }
 }
 }  // namespace
@@ -65,15 +68,13 @@
   for (const auto& t : r.tasks) {
     tasks.push_back({t.task.job.value, t.task.index, t.attempt.value});
   }
-  return {{"type", r.type.value},       {"zone", r.zone.value},
-          {"spot", r.spot},             {"address", r.address},
-          {"tenure", r.tenure.value},   {"leaving", r.leaving},
+  return {{"type", r.type.value},      {"zone", r.zone.value},     {"spot", r.spot},
+          {"address", r.address},      {"tenure", r.tenure.value}, {"leaving", r.leaving},
           {"rented_at", r.rentedAtMs}, {"tasks", std::move(tasks)}};
 }
 
 Json toJson(const HireRecord& r) {
-  return {
-      {"type", r.type.value}, {"zone", r.zone.value}, {"spot", r.spot}, {"count", r.count}};
+  return {{"type", r.type.value}, {"zone", r.zone.value}, {"spot", r.spot}, {"count", r.count}};
 }
 
 Json toJson(const LeaderRecord& r) { return {{"member", r.member.value}, {"boot", r.boot}}; }
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -22,7 +22,8 @@
 // "key value" pairs after `from`.
 std::map<std::string, std::string> options(const Line& line, std::size_t from) {
   std::map<std::string, std::string> out;
-  for (std::size_t i = from; i + 1 < line.words.size(); i += 2) out[line.words[i]] = line.words[i + 1];
+  for (std::size_t i = from; i + 1 < line.words.size(); i += 2)
+    out[line.words[i]] = line.words[i + 1];
   return out;
 }
 
@@ -50,16 +51,26 @@
   void configure(const Line& line) {
     for (const auto& [key, value] : options(line, 1)) {
       double v = std::stod(value);
-      if (key == "nodes") settings_.nodes = static_cast<int>(v);
-      else if (key == "ordinary") settings_.ordinaryPerZone = static_cast<int>(v);
-      else if (key == "spot") settings_.spotPerZone = static_cast<int>(v);
-      else if (key == "boot") settings_.bootS = v;
-      else if (key == "bootfail") settings_.bootFail = v;
-      else if (key == "gpusmax") settings_.gpusMax = v;
-      else if (key == "report") settings_.reportS = v;
-      else if (key == "lease") settings_.leaseS = v;
-      else if (key == "cancel") settings_.cancelS = v;
-      else FAIL() << "unknown setting " << key;
+      if (key == "nodes")
+        settings_.nodes = static_cast<int>(v);
+      else if (key == "ordinary")
+        settings_.ordinaryPerZone = static_cast<int>(v);
+      else if (key == "spot")
+        settings_.spotPerZone = static_cast<int>(v);
+      else if (key == "boot")
+        settings_.bootS = v;
+      else if (key == "bootfail")
+        settings_.bootFail = v;
+      else if (key == "gpusmax")
+        settings_.gpusMax = v;
+      else if (key == "report")
+        settings_.reportS = v;
+      else if (key == "lease")
+        settings_.leaseS = v;
+      else if (key == "cancel")
+        settings_.cancelS = v;
+      else
+        FAIL() << "unknown setting " << key;
     }
   }
 
@@ -102,18 +113,30 @@
       JobPlan job;
       job.id = words.at(1);
       for (const auto& [key, value] : options(line, 2)) {
-        if (key == "shape") job.shape = value;
-        else if (key == "tasks") job.tasks = std::stoi(value);
-        else if (key == "gpus") job.gpus = std::stod(value);
-        else if (key == "cpus") job.cpus = std::stod(value);
-        else if (key == "run") job.runS = std::stod(value);
-        else if (key == "rank") job.rank = value;
-        else if (key == "zone") job.zone = value;
-        else if (key == "together") job.together = value == "yes";
-        else if (key == "apart") job.apart = value == "yes";
-        else if (key == "spot") job.spot = value == "yes";
-        else if (key == "checkpoint") job.checkpointS = std::stod(value);
-        else FAIL() << "unknown option " << key;
+        if (key == "shape")
+          job.shape = value;
+        else if (key == "tasks")
+          job.tasks = std::stoi(value);
+        else if (key == "gpus")
+          job.gpus = std::stod(value);
+        else if (key == "cpus")
+          job.cpus = std::stod(value);
+        else if (key == "run")
+          job.runS = std::stod(value);
+        else if (key == "rank")
+          job.rank = value;
+        else if (key == "zone")
+          job.zone = value;
+        else if (key == "together")
+          job.together = value == "yes";
+        else if (key == "apart")
+          job.apart = value == "yes";
+        else if (key == "spot")
+          job.spot = value == "yes";
+        else if (key == "checkpoint")
+          job.checkpointS = std::stod(value);
+        else
+          FAIL() << "unknown option " << key;
       }
       w.submit(job);
     } else if (verb == "abort") {
--- a/tests/sim/state_stand_in.cpp
+++ b/tests/sim/state_stand_in.cpp
@@ -20,9 +20,8 @@
 
 StateStandIn::StateStandIn(Clockwork& clock, Network& network, const std::string& address)
     : clock_(clock) {
-  network.listen(address, [this](const std::string& from, const Request& q, const Respond& respond) {
-    respond(handle(from, q));
-  });
+  network.listen(address, [this](const std::string& from, const Request& q,
+                                 const Respond& respond) { respond(handle(from, q)); });
 }
 
 void StateStandIn::outage(std::int64_t ms) {
--- a/tests/sim/virtual_time.hpp
+++ b/tests/sim/virtual_time.hpp
@@ -33,9 +33,7 @@
     std::int64_t at;
     std::uint64_t order;
     std::function<void()> f;
-    bool operator<(const Event& o) const {
-      return at != o.at ? at > o.at : order > o.order;
-    }
+    bool operator<(const Event& o) const { return at != o.at ? at > o.at : order > o.order; }
   };
   std::priority_queue<Event> queue_;
   std::int64_t now_ = 1000;
@@ -61,8 +59,8 @@
            std::int64_t ms) {
     cuts_.push_back({host, others, mode, clock_.now() + ms});
   }
-  double lossOfAnswers = 0;     // share of requests whose answer is lost
-  double lateRequests = 0;      // share that arrives up to two minutes late
+  double lossOfAnswers = 0;  // share of requests whose answer is lost
+  double lateRequests = 0;   // share that arrives up to two minutes late
 
   void send(const std::string& from, const std::string& address, Request request,
             std::int64_t timeout, OnReply done) {
@@ -75,7 +73,8 @@
     clock_.in(timeout, [finish] { finish(std::nullopt); });
     std::string to = address.substr(0, address.find(':'));
     std::int64_t delay = latency();
-    if (chance(lateRequests)) delay += std::uniform_int_distribution<std::int64_t>(0, 120000)(random_);
+    if (chance(lateRequests))
+      delay += std::uniform_int_distribution<std::int64_t>(0, 120000)(random_);
     travel(from, to, delay, [this, from, to, address, request, finish](bool reset) {
       if (reset) return finish(std::nullopt);
       auto server = servers_.find(address);
--- a/tests/sim/worker.cpp
+++ b/tests/sim/worker.cpp
@@ -14,11 +14,12 @@
 void SimWorker::start() {
   lastAnsweredSent_ = world_.clock.now();
   node_ = static_cast<int>(world_.random() % static_cast<std::uint64_t>(world_.settings.nodes));
-  world_.network.listen(host + ":9", [this](const std::string&, const Request& q, const Respond& r) {
-    whenAwake([this, q, r] {
-      if (!gone) r(onCommands(q));
-    });
-  });
+  world_.network.listen(host + ":9",
+                        [this](const std::string&, const Request& q, const Respond& r) {
+                          whenAwake([this, q, r] {
+                            if (!gone) r(onCommands(q));
+                          });
+                        });
   schedule(1);
   checkLease();
 }
@@ -54,12 +55,13 @@
 Json SimWorker::report() {
   Json list = Json::array();
   for (const auto& t : tasks) {
-    Json v = {{"shard", t.job + "/" + std::to_string(t.index)}, {"try", t.attempt}, {"phase", t.state}};
+    Json v = {
+        {"shard", t.job + "/" + std::to_string(t.index)}, {"try", t.attempt}, {"phase", t.state}};
     if (t.state == "ended") v["cause"] = t.cause;
     list.push_back(v);
   }
-  Json r = {{"host", host},     {"addr", host + ":9"}, {"rig", "box"},    {"site", zone},
-            {"loaners", spot}, {"tenure", tenure_},    {"tick", ++tick_}, {"baton", token_},
+  Json r = {{"host", host},         {"addr", host + ":9"}, {"rig", "box"},    {"site", zone},
+            {"loaners", spot},      {"tenure", tenure_},   {"tick", ++tick_}, {"baton", token_},
             {"warning_s", nullptr}, {"shards", list}};
   if (noticeEnds_ > 0) {
     r["warning_s"] = static_cast<double>(noticeEnds_ - world_.clock.now()) / 1000.0;
@@ -70,7 +72,10 @@
 void SimWorker::schedule(std::int64_t delay) {
   auto mine = ++timer_;
   world_.clock.in(delay, [this, mine] {
-    if (mine == timer_ && !gone) whenAwake([this, mine] { if (mine == timer_) beat(); });
+    if (mine == timer_ && !gone)
+      whenAwake([this, mine] {
+        if (mine == timer_) beat();
+      });
   });
 }
 
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -15,10 +15,9 @@
   explicit InlinePlanRunner(Runtime& runtime) : runtime_(runtime) {}
   void run(PlanInput input, std::function<void(PlanInput, Plan)> done) override {
     Plan plan = makePlan(input);
-    runtime_.after(Duration{0}, [input = std::move(input), plan = std::move(plan),
-                                 done = std::move(done)]() mutable {
-      done(std::move(input), std::move(plan));
-    });
+    runtime_.after(Duration{0},
+                   [input = std::move(input), plan = std::move(plan),
+                    done = std::move(done)]() mutable { done(std::move(input), std::move(plan)); });
   }
 
  private:
@@ -45,8 +44,8 @@
     p.meshAddress = "node" + std::to_string(i) + ":81";
     for (int j = 0; j < settings.nodes; ++j) {
       if (j == i) continue;
-      p.peers.push_back({MemberId{"node" + std::to_string(j)}, ZoneId{"a"},
-                         "node" + std::to_string(j) + ":81"});
+      p.peers.push_back(
+          {MemberId{"node" + std::to_string(j)}, ZoneId{"a"}, "node" + std::to_string(j) + ":81"});
     }
     p.cloudAddress = "cloud:1";
     p.stateAddress = "state:1";
@@ -92,16 +91,14 @@
   std::string host = "node" + std::to_string(i);
   n.runtime = std::make_unique<HostRuntime>(clock, network, host, rate);
   n.planner = std::make_unique<InlinePlanRunner>(*n.runtime);
-  n.controller = std::make_unique<Controller>(*n.runtime, *n.runtime, *n.planner, n.platform,
-                                              n.operatorSettings,
-                                              host + "-" + std::to_string(n.lives));
+  n.controller =
+      std::make_unique<Controller>(*n.runtime, *n.runtime, *n.planner, n.platform,
+                                   n.operatorSettings, host + "-" + std::to_string(n.lives));
   auto* c = n.controller.get();
-  network.listen(host + ":80", [c](const std::string&, const Request& q, const Respond& r) {
-    c->onApi(q, r);
-  });
-  network.listen(host + ":81", [c](const std::string&, const Request& q, const Respond& r) {
-    c->onMesh(q, r);
-  });
+  network.listen(host + ":80",
+                 [c](const std::string&, const Request& q, const Respond& r) { c->onApi(q, r); });
+  network.listen(host + ":81",
+                 [c](const std::string&, const Request& q, const Respond& r) { c->onMesh(q, r); });
   c->start();
 }
 
@@ -236,20 +233,23 @@
 }
 
 void World::tryAbort(const std::string& id) {
-  toSomeNode({"POST", "/v2/runs/" + id + "/abort", ""}, 5000, [this, id, askedAt = clock.now()](std::optional<Response> r) {
-    if (r && r->status == 200) return note(id, *r, askedAt);
-    if (r && r->status == 404 && users_[id].accepted) fail("forgotten", id + " abort got 404");
-    clock.in(1000, [this, id] { tryAbort(id); });
-  });
+  toSomeNode({"POST", "/v2/runs/" + id + "/abort", ""}, 5000,
+             [this, id, askedAt = clock.now()](std::optional<Response> r) {
+               if (r && r->status == 200) return note(id, *r, askedAt);
+               if (r && r->status == 404 && users_[id].accepted)
+                 fail("forgotten", id + " abort got 404");
+               clock.in(1000, [this, id] { tryAbort(id); });
+             });
 }
 
 void World::poll(const std::string& id) {
   clock.in(4000 + static_cast<std::int64_t>(random() % 2000), [this, id] {
-    toSomeNode({"GET", "/v2/runs/" + id, ""}, 2000, [this, id, askedAt = clock.now()](std::optional<Response> r) {
-      if (r && r->status == 200) note(id, *r, askedAt);
-      if (r && r->status == 404) fail("forgotten", id + " polled 404");
-      poll(id);
-    });
+    toSomeNode({"GET", "/v2/runs/" + id, ""}, 2000,
+               [this, id, askedAt = clock.now()](std::optional<Response> r) {
+                 if (r && r->status == 200) note(id, *r, askedAt);
+                 if (r && r->status == 404) fail("forgotten", id + " polled 404");
+                 poll(id);
+               });
   });
 }
 
@@ -335,9 +335,9 @@
   std::string path = q.path.substr(0, q.path.find('?'));
   auto body = decodeBody(q.body);
   if (path == "/machine_types") {
-    Json type = {{"name", "box"},       {"cpus", settings.cpus},   {"gpus", settings.gpus},
+    Json type = {{"name", "box"},          {"cpus", settings.cpus}, {"gpus", settings.gpus},
                  {"ram_gb", settings.ram}, {"local_gb", 50},        {"pull_gb_per_s", 1.0},
-                 {"rate", 10.0},        {"market_price", 3.0},     {"ready_s", settings.bootS},
+                 {"rate", 10.0},           {"market_price", 3.0},   {"ready_s", settings.bootS},
                  {"sites", settings.zones}};
     return jsonResponse(200, {{"rigs", Json::array({type})}});
   }
