Bounds: every answer to a report within the contact bound; transactions within 64 KiB

Found by reading: a node that hung could answer reports before its timers saw the bound, and with hundreds of tasks a machine a transaction could pass the state service's 64 KiB.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -240,6 +240,11 @@
   if (!report) return jsonResponse(400, {{"error", "not a report"}});
   lastWorker_ = runtime_.now();
   if (!leader_ || !election_.leads()) return notHere();
+  if (feed_.contactAge() > trustBound()) {
+    // A node that hung finds reports waiting before its timers: the bound holds for each answer.
+    leaveOffice("no contact with the state service for too long", false, Duration{1000});
+    return notHere();
+  }
   if (report->token > election_.token()) {
     leaveOffice("machine " + report->machine.value + " has seen a higher token", false,
                 Duration{500});
--- a/src/app/leader_commits.cpp
+++ b/src/app/leader_commits.cpp
@@ -9,6 +9,8 @@
 constexpr Duration kCommitTimeout{1500};
 constexpr Duration kRetry{200};
 constexpr std::size_t kMaxPauseS = 60;
+// Of all records in one transaction, so that it stays within the 64 KiB of the state service.
+constexpr std::size_t kMaxTasksListed = 1000;
 }  // namespace
 
 Transaction Leader::begin() const {
@@ -85,8 +87,8 @@
   Transaction t = begin();
   std::map<std::string, TaskBits> progress;  // new values by key
   std::map<JobId, std::uint32_t> newlyFinished;
-  std::set<std::string> progressKeys;
   std::vector<std::pair<AttemptId, Gone>> settled;
+  std::size_t listed = 0;
   for (auto& [id, m] : fleet_.machines()) {
     if (m.memory.gone.empty()) continue;
     const auto* record = s_.replica.machine(id);
@@ -96,6 +98,8 @@
     }
     // Room for this machine, one task's progress and its job's end.
     if (t.writes.size() + progress.size() + newlyFinished.size() + 3 > limit) break;
+    if (!t.writes.empty() && listed + record->tasks.size() > kMaxTasksListed) break;
+    listed += record->tasks.size();
     MachineRecord changed = *record;
     bool any = false;
     std::vector<AttemptId> stale;
@@ -313,6 +317,7 @@
   std::map<JobId, Revision> jobs;
   std::vector<AttemptId> placed;
   std::set<MachineId> machines;
+  std::size_t listed = 0;
   highest_ = std::max(highest_, s_.replica.cursor());
   const std::size_t maxConditions = 4 * s_.platform.transactionOps;
   for (const auto& p : plan.placements) {
@@ -334,10 +339,16 @@
       planDirty_ = true;
       continue;
     }
+    const auto* old = s_.replica.machine(target.id);
+    if (!records.contains(p.machine)) listed += old->tasks.size();
+    if (++listed > kMaxTasksListed && !placed.empty()) {
+      planDirty_ = true;
+      break;
+    }
     auto [it, isNew] = records.try_emplace(p.machine);
     MachineRecord& record = it->second;
     if (isNew) {
-      if (const auto* old = s_.replica.machine(target.id)) record = *old;
+      record = *old;
       record.type = m->type;
       record.zone = m->zone;
       record.spot = m->spot;
