--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -119,6 +119,8 @@
           job.tasks = std::stoi(value);
         else if (key == "gpus")
           job.gpus = std::stod(value);
+        else if (key == "ram")
+          job.ram = std::stod(value);
         else if (key == "cpus")
           job.cpus = std::stod(value);
         else if (key == "run")
