--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -232,12 +232,20 @@
            fetchS(spec, m) > kWorthStopping;
   }
 
+  // Whether stopping something there helps a task whose image is missing where there is room. Not
+  // where there is room already: bestFree() preferred another machine, say for a replica on the
+  // same one, and room that is only set aside would keep the task waiting.
+  bool worthWarming(const JobSpec& spec, std::size_t m) const {
+    return in_.machines[m].held.contains(spec.image) && !spec.perTask.fitsIn(state_.free[m]) &&
+           !(spec.kind == JobKind::service && siblings_.contains(m));
+  }
+
   // Takes room that is about to be free, or stops less important work for it. The task is placed
   // by a later plan, once the room is free. `warm`: only where the image is, and only if that
   // costs less than the fetch.
   bool makeRoom(const JobSpec& spec, bool warm) {
     for (std::size_t m = 0; m < in_.machines.size(); ++m) {
-      if (warm && !in_.machines[m].held.contains(spec.image)) continue;
+      if (warm && !worthWarming(spec, m)) continue;
       if (allowed(spec, m) && spec.perTask.fitsIn(state_.soon[m])) {
         state_.soon[m] -= spec.perTask;
         book(spec, m);
@@ -250,7 +258,7 @@
     double bestCost = std::numeric_limits<double>::infinity();
     for (std::size_t m = 0; m < in_.machines.size(); ++m) {
       if (!allowed(spec, m)) continue;
-      if (warm && !in_.machines[m].held.contains(spec.image)) continue;
+      if (warm && !worthWarming(spec, m)) continue;
       std::vector<const PlanTask*> candidates;
       for (const auto& t : in_.machines[m].tasks) {
         if (!state_.stopped.contains(t.id) && mayStopFor(spec, guaranteed, t))
