--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -218,10 +218,7 @@
 }
 
 std::size_t Controller::heardMachines() const {
-  if (!leader_) return 0;
-  const auto& machines = leader_->fleet().machines();
-  return static_cast<std::size_t>(std::count_if(machines.begin(), machines.end(),
-                                                [](const auto& m) { return m.second.heard(); }));
+  return leader_ ? leader_->fleet().heardCount() : 0;
 }
 
 Response Controller::notHere() const {
--- a/src/app/leader.cpp
+++ b/src/app/leader.cpp
@@ -7,10 +7,11 @@
 namespace kestrelhoist {
 namespace {
 constexpr Duration kTick{250};
-constexpr std::size_t kWaitingPerJob = 256;  // tasks of one job in one plan
-constexpr double kLeaderWriteShare = 0.7;    // the rest is for users' requests
+constexpr std::int64_t kTicksPerJudgement = 2;
+constexpr Duration kPlanGap{50};           // between a plan's end and the next one, at least
+constexpr int kPlanShare = 4;              // and this many times what the last one took
+constexpr double kLeaderWriteShare = 0.7;  // the rest is for users' requests
 constexpr Duration kDirectTimeout{3000};
-constexpr std::size_t kBytesPerTask = 48;  // of a machine's record, generously
 }  // namespace
 
 Leader::Leader(Services services, Token token)
@@ -43,8 +44,10 @@
     }
   }
   if (!catalogue_) readTypes();
-  fleet_.adoptRecords(now, s_.runtime.wallMillis());
-  fleet_.judge(now, catalogue_ ? &*catalogue_ : nullptr);
+  if (++ticks_ % kTicksPerJudgement == 0) {
+    fleet_.adoptRecords(now, s_.runtime.wallMillis());
+    fleet_.judge(now, catalogue_ ? &*catalogue_ : nullptr);
+  }
   if (now >= nextList_ && !listing_) readList();
   startReleases();
   startHires();
@@ -69,26 +72,58 @@
 }
 
 // One commit or one plan at a time: what a commit changes is on record before the next decision.
+// The kinds of work take turns, so that none starves another however much there is of it.
 void Leader::cycle() {
   if (busy_ || !s_.feed.reachable()) return;
-  if (auto p = nextFacts()) return commit(std::move(*p));
-  if (auto p = nextRelease()) return commit(std::move(*p));
-  if (planDirty_ && mayPlace()) {
-    planDirty_ = false;
-    PlanInput input = picture();
-    if (input.jobs.empty()) {
-      unplaced_.clear();
-    } else {
-      busy_ = true;
-      s_.planner.run(std::move(input), guard([this](PlanInput in, Plan plan) {
-                       busy_ = false;
-                       onPlan(in, plan);
-                     }));
-      return;
+  constexpr std::size_t kKinds = 5;
+  for (std::size_t i = 0; i < kKinds; ++i) {
+    std::size_t kind = (turn_ + i) % kKinds;
+    std::optional<Pending> pending;
+    switch (kind) {
+      case 0:
+        if (startPlan()) {
+          turn_ = kind + 1;
+          return;
+        }
+        break;
+      case 1:
+        pending = nextTasks(nullptr, nullptr);
+        break;
+      case 2:
+        pending = nextReleases();
+        break;
+      case 3:
+        pending = nextRentals();
+        break;
+      default:
+        pending = nextOther();
+    }
+    if (pending) {
+      turn_ = kind + 1;
+      return commit(std::move(*pending));
     }
   }
-  if (auto p = nextHire()) return commit(std::move(*p));
-  if (auto p = nextOther()) return commit(std::move(*p));
+}
+
+bool Leader::startPlan() {
+  Instant now = s_.runtime.now();
+  if (!planDirty_ || !mayPlace() || now < nextPlan_) return false;
+  planDirty_ = false;
+  PlanInput input = picture();
+  if (input.jobs.empty()) {
+    unplaced_.clear();
+    return false;
+  }
+  busy_ = true;
+  s_.planner.run(std::move(input), guard([this, now](PlanInput in, Plan plan) {
+                   busy_ = false;
+                   // Answers to workers and users come first: planning gets a share of the time.
+                   Instant end = s_.runtime.now();
+                   nextPlan_ = end + std::max(kPlanGap, kPlanShare * (end - now));
+                   s_.runtime.after(nextPlan_ - end, guard([this] { kick(); }));
+                   onPlan(in, plan);
+                 }));
+  return true;
 }
 
 Response Leader::onReport(const Report& report, bool sure) {
@@ -100,12 +135,12 @@
   const Machine* before = fleet_.find(report.machine);
   bool wasUsable = before && fleet_.usable(*before, now);
   auto orders = fleet_.onReport(report, now, sure);
-  const Machine& m = *fleet_.find(report.machine);
+  Machine& m = *fleet_.find(report.machine);
   if (!wasUsable && fleet_.usable(m, now)) {
     planDirty_ = true;
     kick();
   }
-  if (!m.memory.gone.empty()) kick();
+  noteFacts(m);
   return jsonResponse(200, ordersToJson(token_, orders));
 }
 
@@ -126,74 +161,105 @@
 
 bool Leader::mayPlace() const { return settled_ && catalogue_.has_value(); }
 
+// What the planner needs to know: as on record, less what is proven to have ended since.
 PlanInput Leader::picture() {
   Instant now = s_.runtime.now();
   PlanInput in;
-  in.teams = s_.platform.teams;
-  in.maxMachines = s_.platform.transactionOps;
+  in.maxJobs = s_.platform.transactionOps;
+  Priority highest = Priority::low;
+  std::map<ZoneId, std::uint32_t> zones;
+  auto zoneNumber = [&](const ZoneId& z) {
+    return zones.try_emplace(z, static_cast<std::uint32_t>(zones.size())).first->second;
+  };
+  for (const auto& z : s_.platform.zones) zoneNumber(z);
+  bool guarantees = false;
+  std::vector<const JobState*> states;
   for (const auto& [id, job] : s_.replica.live()) {
     if (!job->active() || !job->record.spec) continue;
+    std::size_t settled = job->finishedCount + job->placed.size();
+    if (auto again = dueAgain_.find(id); again != dueAgain_.end()) settled -= again->second;
+    if (settled >= job->tasks) continue;
     if (auto pause = pauses_.find(id); pause != pauses_.end() && now < pause->second.until)
       continue;
-    auto count =
-        job->tasks - std::min<std::size_t>(job->tasks, job->finishedCount + job->placed.size());
-    if (count == 0) continue;
     PlanJob j;
     j.spec = job->record.spec;
     j.acceptedAtMs = job->record.acceptedAtMs;
-    j.waitingCount = static_cast<std::uint32_t>(count);
+    j.waiting = job->tasks - static_cast<std::uint32_t>(settled);
+    j.image = job->image;
+    j.team = job->team;
     j.stamp = job->stamp;
     j.remainingS = toSeconds(j.spec->estimate) *
                    static_cast<double>(job->tasks - std::min(job->tasks, job->finishedCount));
-    std::size_t most = j.spec->kind == JobKind::gang ? kMaxTasks : kWaitingPerJob;
-    for (std::uint32_t i = 0; i < job->tasks && j.waiting.size() < most; ++i) {
-      if (i % TaskBits::kPerChunk == 0) {
-        auto chunk = job->finished.find(i / TaskBits::kPerChunk);
-        if (chunk != job->finished.end() && chunk->second.count() == TaskBits::kPerChunk) {
-          i += TaskBits::kPerChunk - 1;
-          continue;
-        }
-      }
-      if (!job->isFinished(i) && !job->placed.contains(i)) j.waiting.push_back(i);
-    }
-    for (const auto& [index, placed] : job->placed) {
-      if (const auto* m = s_.replica.machine(placed.machine)) ++j.perZone[m->zone];
-    }
+    if (j.spec->zone) j.zone = zoneNumber(*j.spec->zone);
+    highest = std::max(highest, j.spec->priority);
     in.jobs.push_back(std::move(j));
+    states.push_back(job);
   }
   if (in.jobs.empty()) return in;
-  // Machines on record that have never reported still count for quotas.
-  for (const auto& [id, m] : fleet_.machines()) {
-    const MachineType* type = catalogue_->find(m.type);
-    const auto* record = s_.replica.machine(id);
+  in.teams.resize(s_.replica.teams());
+  in.teamKnown.resize(in.teams.size());
+  in.used.resize(in.teams.size());
+  for (const auto& [id, team] : s_.platform.teams) {
+    auto n = s_.replica.teamNumber(id);
+    if (n >= in.teams.size()) continue;  // has no jobs
+    in.teams[n] = team;
+    in.teamKnown[n] = true;
+    guarantees = guarantees || team.guaranteed.cpus > 0 || team.guaranteed.gpus > 0;
+  }
+  std::map<MachineId, std::size_t> index;
+  in.machines.reserve(s_.replica.machines().size());
+  for (const auto& [id, record] : s_.replica.machines()) {
+    const Machine* m = fleet_.find(id);
+    const MachineType* type = catalogue_->find(record.type);
     PlanMachine p;
     p.id = id;
-    p.type = m.type;
-    p.zone = m.zone;
-    p.spot = m.spot;
-    p.usable = type && fleet_.usable(m, now);
-    if (type) p.room = type->room;
-    std::size_t tasks = record ? record->tasks.size() : 0;
-    std::size_t most = (s_.platform.valueBytes - 512) / kBytesPerTask;
-    p.slots = most > tasks ? most - tasks : 0;
-    p.stamp = s_.replica.stampOf(keys::machine(id));
-    if (type) p.fetchGbPerS = type->fetchGbPerS;
-    for (const auto& image : m.images) {
-      p.images.insert(image.id);
-      if (image.held) p.held.insert(image.id);
+    p.type = record.type;
+    p.zone = zoneNumber(record.zone);
+    p.spot = record.spot;
+    p.usable = type && m && fleet_.usable(*m, now);
+    if (type) {
+      p.room = type->room;
+      p.fetchGbPerS = type->fetchGbPerS;
+    }
+    p.free = p.soon = p.room;
+    if (p.usable) {
+      p.images.reserve(m->images.size() + 1);
+      for (const auto& image : m->images) p.images.push_back({image.id, image.gb, image.held});
     }
-    if (record) {
-      for (const auto& t : record->tasks) {
-        const auto* job = s_.replica.job(t.task.job);
-        if (!job || !job->record.spec) continue;
-        auto seen = m.seenRunning.find(t);
-        p.tasks.push_back({t, job->record.spec, m.memory.stops.contains(t) || !job->active(),
-                           seen == m.seenRunning.end() ? Duration{0} : now - seen->second});
-        p.images.insert(job->record.spec->image);
+    for (const auto& t : record.tasks) {
+      if (m && m->memory.gone.contains(t.id)) continue;
+      const auto& spec = t.job->record.spec;
+      if (!spec) continue;
+      in.used[t.job->team] += spec->perTask;
+      p.free -= spec->perTask;
+      bool stopping = (m && m->memory.stops.contains(t.id)) || !t.job->active();
+      if (!stopping) p.soon -= spec->perTask;
+      if (!p.usable) continue;
+      if (std::none_of(p.images.begin(), p.images.end(),
+                       [&](const PlanImage& i) { return i.id == t.job->image; })) {
+        p.images.push_back({t.job->image, spec->imageGb, false});
+      }
+      if (!stopping && (guarantees || spec->priority < highest)) {
+        auto seen = m->seenRunning.find(t.id);
+        p.stoppable.push_back({t.id, spec, t.job->team,
+                               seen == m->seenRunning.end() ? Duration{0} : now - seen->second});
       }
     }
+    index.emplace_hint(index.end(), id, in.machines.size());
     in.machines.push_back(std::move(p));
   }
+  in.zones = zones.size();
+  for (std::size_t j = 0; j < in.jobs.size(); ++j) {
+    in.jobs[j].perZone.resize(in.zones);
+    const JobSpec& spec = *in.jobs[j].spec;
+    if (!spec.spread && !spec.oneZone && spec.kind != JobKind::service) continue;
+    for (const auto& [task, placed] : states[j]->placed) {
+      auto at = index.find(placed.machine);
+      if (at == index.end() || factOf({{spec.id, task}, placed.attempt})) continue;
+      ++in.jobs[j].perZone[in.machines[at->second].zone];
+      if (spec.kind == JobKind::service) ++in.jobs[j].siblings[at->second];
+    }
+  }
   return in;
 }
 
@@ -211,7 +277,9 @@
   }
   for (const auto& m : told) push(m);
   if (plan.deferred) planDirty_ = true;
-  if (auto p = placementsOf(input, plan)) return commit(std::move(*p));
+  if (!plan.placements.empty()) {
+    if (auto p = nextTasks(&input, &plan)) return commit(std::move(*p));
+  }
   kick();
 }
 
@@ -246,7 +314,7 @@
                  }
                  // Only facts are taken from it; further orders go with the next report.
                  fleet_.ordersFor(*machine, s_.runtime.now(), false);
-                 if (!machine->memory.gone.empty()) kick();
+                 noteFacts(*machine);
                }));
 }
 
--- a/src/app/leader.hpp
+++ b/src/app/leader.hpp
@@ -57,19 +57,37 @@
     std::function<void()> applied;
     std::string what;
   };
+  // What has been proven of a task that is still on record.
+  struct Fact {
+    Attempt attempt;
+    Gone gone{};
+  };
+  // Facts of one stretch of a job's tasks, to be committed together.
+  struct DueFacts {
+    Instant since{};
+    std::map<std::uint32_t, Fact> facts;  // by the task's number
+  };
+  using StretchKey = std::pair<JobId, std::uint32_t>;
+  class TaskWrites;
+
   void commit(Pending pending);
   void send(std::shared_ptr<Pending> pending);
   Transaction begin() const;
-  void addMachine(Transaction& t, const MachineId& id, const MachineRecord* record) const;
-  std::optional<Pending> nextFacts();
-  std::optional<Pending> nextRelease();
-  std::optional<Pending> nextHire();
+  // Takes in what a machine's reports have proven.
+  void noteFacts(Machine& m);
+  void noteFact(const TaskOn& task, Gone gone);
+  void forgetFact(const AttemptId& id, const JobState& job);
+  const Fact* factOf(const AttemptId& id) const;
+  bool factsUrgent(const StretchKey& key, const DueFacts& due) const;
+  std::optional<Pending> nextTasks(const PlanInput* input, const Plan* plan);
+  std::optional<Pending> nextReleases();
+  std::optional<Pending> nextRentals();
   std::optional<Pending> nextOther();
-  std::optional<Pending> placementsOf(const PlanInput& input, const Plan& plan);
 
   // --- plans ---
   bool mayPlace() const;
   PlanInput picture();
+  bool startPlan();
   void onPlan(const PlanInput& input, const Plan& plan);
   void push(const MachineId& id);
 
@@ -78,9 +96,9 @@
   void readList();
   void startReleases();
   void startHires();
-  void onHired(const HireRecord& hire, const HireResult& result);
+  void onHired(const RentalRecord& rental, const HireResult& result);
   void decideRenting(bool turn);
-  std::map<TypeId, TypeDemand> demandNow() const;
+  std::map<TypeId, TypeDemand> demandNow();
   void turnWindow();
   void loadForecasts();
   Json forecastsToJson() const;
@@ -95,6 +113,9 @@
   bool busy_ = false;  // a commit or a plan is under way
   bool kicked_ = false;
   bool planDirty_ = true;
+  Instant nextPlan_{};    // plans take a bounded share of the time
+  std::size_t turn_ = 0;  // which kind of work comes first in the next cycle
+  std::int64_t ticks_ = 0;
   bool settled_ = false;  // one report round has passed
   std::optional<Catalogue> catalogue_;
   bool typesAsked_ = false;
@@ -106,15 +127,19 @@
   };
   std::map<JobId, Pause> pauses_;  // jobs whose tasks failed: growing pauses
 
+  std::map<StretchKey, DueFacts> due_;
+  std::map<JobId, std::uint32_t> dueDone_;   // tasks found done, not committed yet
+  std::map<JobId, std::uint32_t> dueAgain_;  // tasks found gone that must run again
+
   std::map<JobId, std::uint32_t> unplaced_;  // by the last plan
   std::set<MachineId> releasing_;            // asked, no answer yet
-  std::set<MachineId> releaseConfirmed_;     // 200, to be committed
+  std::set<MachineId> releaseConfirmed_;     // 200, still on record
 
-  std::deque<HireRecord> hireWanted_;  // to be written down before it is asked
-  std::set<HireId> hireAsked_;
-  std::map<HireId, HireResult> hireResults_;  // to be committed
-  std::map<Offer, Instant> refused_;          // when last
-  std::uint64_t hireCount_ = 0;
+  std::deque<RentalRecord> rentalsWanted_;  // to be written down before they are asked for
+  std::set<RentalId> rentalsAsked_;
+  std::map<RentalId, HireResult> rentalResults_;  // to be committed
+  std::map<Offer, Instant> refused_;              // when last
+  std::uint64_t rentalCount_ = 0;
 
   struct Series {
     Forecast firm, flexible;
--- a/src/app/leader_commits.cpp
+++ b/src/app/leader_commits.cpp
@@ -9,8 +9,12 @@
 constexpr Duration kCommitTimeout{1500};
 constexpr Duration kRetry{200};
 constexpr std::size_t kMaxPauseS = 60;
-// Of all records in one transaction, so that it stays within the 64 KiB of the state service.
-constexpr std::size_t kMaxTasksListed = 1000;
+// A transaction may be 64 KiB altogether, in text form.
+constexpr std::size_t kMaxBytes = 56 * 1024;
+constexpr std::size_t kBytesPerWrite = 400;  // keys, conditions, a job's end
+// Facts that nobody waits for are written together: their tasks stay on record a little longer,
+// and the worker goes on reporting them until then.
+constexpr Duration kFactsWait{1500};
 }  // namespace
 
 Transaction Leader::begin() const {
@@ -20,13 +24,6 @@
   return t;
 }
 
-// Sets or (null) drops a machine's record, on the stamp last read.
-void Leader::addMachine(Transaction& t, const MachineId& id, const MachineRecord* record) const {
-  std::string key = keys::machine(id);
-  t.conditions.push_back({key, s_.replica.stampOf(key)});
-  t.writes.push_back({key, record ? std::optional(toJson(*record)) : std::nullopt, std::nullopt});
-}
-
 void Leader::commit(Pending pending) {
   busy_ = true;
   auto shared = std::make_shared<Pending>(std::move(pending));
@@ -81,217 +78,406 @@
                   }));
 }
 
-// What reports have proven: tasks done, gone or lost.
-std::optional<Leader::Pending> Leader::nextFacts() {
-  const std::size_t limit = s_.platform.transactionOps;
-  Transaction t = begin();
-  std::map<std::string, TaskBits> progress;  // new values by key
-  std::map<JobId, std::uint32_t> newlyFinished;
-  std::vector<std::pair<AttemptId, Gone>> settled;
-  std::size_t listed = 0;
-  for (auto& [id, m] : fleet_.machines()) {
-    if (m.memory.gone.empty()) continue;
-    const auto* record = s_.replica.machine(id);
-    if (!record) {
-      m.memory.gone.clear();
-      continue;
+void Leader::noteFact(const TaskOn& task, Gone gone) {
+  const JobId& job = task.id.task.job;
+  if (!task.job || task.job->record.stretch == 0) return;
+  DueFacts& due = due_[{job, task.id.task.index / task.job->record.stretch}];
+  if (due.facts.empty()) due.since = s_.runtime.now();
+  auto [it, isNew] = due.facts.try_emplace(task.id.task.index, Fact{task.id.attempt, gone});
+  if (!isNew) return;
+  // Only an array's task can be done; a service's that ended by itself is started again.
+  bool done = gone == Gone::done && task.job->record.spec->kind != JobKind::service;
+  ++(done ? dueDone_ : dueAgain_)[job];
+  planDirty_ = true;
+  if (gone == Gone::done) pauses_.erase(job);
+  if (gone != Gone::failed && gone != Gone::refused) return;
+  // A job submitted with a mistake fails everywhere: growing pauses, so it burns nothing.
+  Pause& pause = pauses_[job];
+  pause.failures = std::min(pause.failures + 1, 16);
+  auto seconds = std::min<std::size_t>(kMaxPauseS, 1UL << std::min(pause.failures - 1, 6));
+  Duration length{static_cast<std::int64_t>(gone == Gone::failed ? seconds : 1) * 1000};
+  pause.until = s_.runtime.now() + length;
+  spdlog::info("task {} {}: its job pauses {} ms", task.id.str(),
+               gone == Gone::failed ? "failed" : "was refused", length.count());
+}
+
+// Off the record, or no longer what is on it.
+void Leader::forgetFact(const AttemptId& id, const JobState& job) {
+  auto due = due_.find({id.task.job, id.task.index / job.record.stretch});
+  if (due == due_.end()) return;
+  auto fact = due->second.facts.find(id.task.index);
+  if (fact == due->second.facts.end() || fact->second.attempt != id.attempt) return;
+  bool done = fact->second.gone == Gone::done && job.record.spec->kind != JobKind::service;
+  auto& counts = done ? dueDone_ : dueAgain_;
+  if (auto c = counts.find(id.task.job); c != counts.end() && --c->second == 0) counts.erase(c);
+  due->second.facts.erase(fact);
+  if (due->second.facts.empty()) due_.erase(due);
+}
+
+void Leader::noteFacts(Machine& m) {
+  if (m.memory.gone.empty()) return;
+  const auto* record = s_.replica.machine(m.id);
+  if (!record) return;
+  for (const auto& [attempt, gone] : m.memory.gone) {
+    const auto* task = record->find(attempt);
+    if (!task || factOf(attempt)) continue;
+    noteFact(*task, gone);
+    // Faulty machines: tasks of several jobs fail there, with no success between.
+    if (gone == Gone::failed) m.failedJobs.insert(attempt.task.job);
+    if (gone == Gone::done) m.failedJobs.clear();
+  }
+  kick();
+}
+
+const Leader::Fact* Leader::factOf(const AttemptId& id) const {
+  const auto* job = s_.replica.job(id.task.job);
+  if (!job || job->record.stretch == 0) return nullptr;
+  auto due = due_.find({id.task.job, id.task.index / job->record.stretch});
+  if (due == due_.end()) return nullptr;
+  auto fact = due->second.facts.find(id.task.index);
+  return fact != due->second.facts.end() && fact->second.attempt == id.attempt ? &fact->second
+                                                                               : nullptr;
+}
+
+// Somebody waits for these: a job that is complete, or a machine that can't go before its tasks.
+bool Leader::factsUrgent(const StretchKey& key, const DueFacts& due) const {
+  if (s_.runtime.now() - due.since >= kFactsWait) return true;
+  const auto* job = s_.replica.job(key.first);
+  if (!job || !job->active()) return true;
+  auto done = dueDone_.find(key.first);
+  return done != dueDone_.end() && job->finishedCount + done->second >= job->tasks;
+}
+
+// Puts together one transaction over stretches of jobs' tasks. Whatever is due for a stretch
+// goes with any change of it, so a task that is lost leaves its machine and gets its next one in
+// the same write.
+class Leader::TaskWrites {
+ public:
+  explicit TaskWrites(Leader& leader)
+      : leader_(leader), limit_(leader.s_.platform.transactionOps) {}
+
+  // False: this transaction is full.
+  bool open(const JobId& id, const JobState& job, std::uint32_t stretch) {
+    if (drafts_.contains({id, stretch})) return true;
+    // Room for this stretch and for its job's end.
+    if (drafts_.size() + ending_ + 2 > limit_) return false;
+    Draft draft{&job, leader_.s_.replica.stretchOf(job, stretch), 0, 0, false};
+    std::size_t size = draft.record.bytes();
+    if (bytes_ + size + kBytesPerWrite > kMaxBytes && !drafts_.empty()) return false;
+    bytes_ += size + kBytesPerWrite;
+    draft.bytes = size;
+    if (auto due = leader_.due_.find({id, stretch}); due != leader_.due_.end()) {
+      for (const auto& [index, fact] : due->second.facts) takeOff(id, draft, index, fact);
     }
-    // Room for this machine, one task's progress and its job's end.
-    if (t.writes.size() + progress.size() + newlyFinished.size() + 3 > limit) break;
-    if (!t.writes.empty() && listed + record->tasks.size() > kMaxTasksListed) break;
-    listed += record->tasks.size();
-    MachineRecord changed = *record;
-    bool any = false;
-    std::vector<AttemptId> stale;
-    for (const auto& [attempt, gone] : m.memory.gone) {
-      auto at = std::find(changed.tasks.begin(), changed.tasks.end(), attempt);
-      if (at == changed.tasks.end()) {
-        stale.push_back(attempt);
-        continue;
-      }
-      const auto* job = s_.replica.job(attempt.task.job);
-      if (gone == Gone::done && job && job->active() && job->record.spec &&
-          job->record.spec->kind != JobKind::service && !job->isFinished(attempt.task.index)) {
-        std::uint32_t chunk = attempt.task.index / TaskBits::kPerChunk;
-        std::string key = keys::progress(attempt.task.job, chunk);
-        std::size_t more =
-            (progress.contains(key) ? 0 : 1) + (newlyFinished.contains(attempt.task.job) ? 0 : 1);
-        if (t.writes.size() + 1 + progress.size() + newlyFinished.size() + more > limit) continue;
-        auto [it, isNew] = progress.try_emplace(key);
-        if (isNew) {
-          auto old = job->finished.find(chunk);
-          if (old != job->finished.end()) it->second = old->second;
-        }
-        it->second.set(attempt.task.index % TaskBits::kPerChunk);
-        ++newlyFinished[attempt.task.job];
-      }
-      changed.tasks.erase(at);
-      settled.emplace_back(attempt, gone);
-      any = true;
+    if (draft.done > 0) {
+      auto& done = newlyDone_[id];
+      done += draft.done;
+      if (job.finishedCount + done >= job.tasks) ++ending_;
     }
-    for (const auto& a : stale) m.memory.gone.erase(a);
-    if (!any) continue;
-    if (changed.tasks.empty() && m.memory.last) changed.tenure = m.memory.last->tenure;
-    addMachine(t, id, &changed);
+    drafts_.emplace(std::pair(id, stretch), std::move(draft));
+    return true;
   }
-  if (t.writes.empty()) return std::nullopt;
-  for (const auto& [key, bits] : progress) {
-    t.conditions.push_back({key, s_.replica.stampOf(key)});
-    t.writes.push_back({key, Json(bits.toHex()), std::nullopt});
+
+  // False: no more of this stretch in this transaction.
+  bool place(const JobId& id, const JobState& job, std::uint32_t index, const Placed& placed) {
+    std::uint32_t stretch = index / job.record.stretch;
+    if (!open(id, job, stretch)) return false;
+    Draft& draft = drafts_.at({id, stretch});
+    std::size_t more = placed.machine.value.size() + 46;
+    if (draft.bytes + more > leader_.s_.platform.valueBytes || bytes_ + more > kMaxBytes) {
+      return false;
+    }
+    draft.bytes += more;
+    bytes_ += more;
+    draft.record.placed.insert_or_assign(index, placed);
+    draft.places = true;
+    return true;
   }
-  for (const auto& [id, count] : newlyFinished) {
-    const auto* job = s_.replica.job(id);
-    if (job->finishedCount + count < job->tasks) continue;
-    // All tasks are done: the job's end is in the same transaction, on the job's stamp.
-    JobRecord done = job->record;
-    done.phase = JobPhase::done;
-    t.conditions.push_back({keys::job(id), job->stamp});
-    t.writes.push_back({keys::job(id), toJson(done), std::nullopt});
-    spdlog::info("job {}: all {} tasks done", id.value, job->tasks);
+
+  bool mayPlace(const JobId& id, const JobState& job, std::uint32_t index) const {
+    if (job.isFinished(index)) return false;
+    auto draft = drafts_.find({id, index / job.record.stretch});
+    if (draft != drafts_.end()) {
+      return !draft->second.record.placed.contains(index) &&
+             !draft->second.record.finished.test(index % job.record.stretch);
+    }
+    auto placed = job.placed.find(index);
+    if (placed == job.placed.end()) return true;
+    const Fact* fact = leader_.factOf({{id, index}, placed->second.attempt});
+    return fact && (fact->gone != Gone::done || job.record.spec->kind == JobKind::service);
   }
-  auto applied = [this, settled] {
-    Instant now = s_.runtime.now();
-    for (const auto& [attempt, gone] : settled) {
-      told_.erase(attempt);
-      spdlog::debug("task {} off its machine: {}", attempt.str(), static_cast<int>(gone));
-      const JobId& job = attempt.task.job;
-      if (gone == Gone::done) pauses_.erase(job);
-      if (gone != Gone::failed && gone != Gone::refused) continue;
-      // A job submitted with a mistake fails everywhere: growing pauses, so it burns nothing.
-      Pause& pause = pauses_[job];
-      pause.failures = std::min(pause.failures + 1, 16);
-      auto seconds = std::min<std::size_t>(kMaxPauseS, 1UL << std::min(pause.failures - 1, 6));
-      pause.until =
-          now + Duration{static_cast<std::int64_t>(gone == Gone::failed ? seconds : 1) * 1000};
-      spdlog::info("task {} {}: its job pauses {} ms", attempt.str(),
-                   gone == Gone::failed ? "failed" : "was refused", (pause.until - now).count());
+
+  bool empty() const { return drafts_.empty(); }
+  std::vector<std::pair<AttemptId, Gone>>& settled() { return settled_; }
+
+  void finish(Transaction& t) {
+    std::set<JobId> conditioned, ended;
+    for (auto& [key, draft] : drafts_) {
+      const auto& [id, stretch] = key;
+      const JobState& job = *draft.job;
+      std::string name = keys::tasks(id, stretch);
+      t.conditions.push_back({name, leader_.s_.replica.stampOf(name)});
+      auto done = newlyDone_.find(id);
+      bool ends = done != newlyDone_.end() && job.finishedCount + done->second >= job.tasks;
+      // All tasks are done: the job's end is in the same transaction, on the job's stamp, and
+      // what is left to know of its tasks goes. An abort moves the stamp, so it and a placement
+      // can't both win; and a late copy of the write that created the key can't bring it back.
+      bool drop =
+          ends && draft.record.placed.empty() && leader_.s_.replica.stampOf(name) != Revision{};
+      t.writes.push_back(
+          {name, drop ? std::nullopt : std::optional(toJson(draft.record)), std::nullopt});
+      if ((ends || draft.places) && conditioned.insert(id).second) {
+        t.conditions.push_back({keys::job(id), job.stamp});
+      }
+      if (ends && ended.insert(id).second) {
+        JobRecord record = job.record;
+        record.phase = JobPhase::done;
+        t.writes.push_back({keys::job(id), toJson(record), std::nullopt});
+        spdlog::info("job {}: all {} tasks done", id.value, job.tasks);
+      }
     }
+  }
+
+ private:
+  struct Draft {
+    const JobState* job;
+    TasksRecord record;
+    std::size_t bytes;
+    std::uint32_t done;
+    bool places;
   };
-  for (auto& [id, m] : fleet_.machines()) {
-    for (const auto& [attempt, gone] : m.memory.gone) {
-      // Faulty machines: tasks of several jobs fail there, with no success between.
-      if (gone == Gone::failed) m.failedJobs.insert(attempt.task.job);
-      if (gone == Gone::done) m.failedJobs.clear();
+
+  void takeOff(const JobId& id, Draft& draft, std::uint32_t index, const Fact& fact) {
+    auto at = draft.record.placed.find(index);
+    if (at == draft.record.placed.end() || at->second.attempt != fact.attempt) return;
+    draft.record.placed.erase(at);
+    const JobState& job = *draft.job;
+    if (fact.gone == Gone::done && job.active() && job.record.spec->kind != JobKind::service &&
+        !draft.record.finished.test(index % job.record.stretch)) {
+      draft.record.finished.set(index % job.record.stretch);
+      ++draft.done;
     }
+    settled_.push_back({{{id, index}, fact.attempt}, fact.gone});
   }
-  return Pending{std::move(t), applied, "facts of " + std::to_string(settled.size()) + " tasks"};
-}
 
-// First the mark that a machine gets no more work, after the cloud's 200 the end of its record.
-std::optional<Leader::Pending> Leader::nextRelease() {
+  Leader& leader_;
+  std::size_t limit_;
+  std::map<StretchKey, Draft> drafts_;
+  std::map<JobId, std::uint32_t> newlyDone_;
+  std::vector<std::pair<AttemptId, Gone>> settled_;
+  std::size_t ending_ = 0;
+  std::size_t bytes_ = 1024;
+};
+
+// What has been proven of tasks and, with a plan, its placements that still hold. A launch
+// follows only after the commit.
+std::optional<Leader::Pending> Leader::nextTasks(const PlanInput* input, const Plan* plan) {
+  TaskWrites writes(*this);
+  Instant now = s_.runtime.now();
+  std::set<MachineId> machines;
+  std::size_t placements = 0;
+  if (plan) {
+    highest_ = std::max(highest_, s_.replica.cursor());
+    std::map<std::size_t, std::uint32_t> next;  // by job: from which task on to look
+    for (const auto& p : plan->placements) {
+      const PlanJob& wanted = input->jobs[p.job];
+      const JobId& id = wanted.spec->id;
+      const auto* job = s_.replica.job(id);
+      Machine* m = fleet_.find(input->machines[p.machine].id);
+      // The picture may be older than what has been read since.
+      if (!m || !fleet_.usable(*m, now) || !job || !job->active() || job->stamp != wanted.stamp) {
+        planDirty_ = true;
+        continue;
+      }
+      std::uint32_t& index = next[p.job];
+      while (index < job->tasks && !writes.mayPlace(id, *job, index)) ++index;
+      if (index >= job->tasks) continue;
+      // Attempts are larger than any of this task before: each earlier placement and its end were
+      // committed at revisions up to `highest_`.
+      Placed placed{m->id, m->memory.last->tenure, Attempt{highest_.value}};
+      if (!writes.place(id, *job, index, placed)) {
+        planDirty_ = true;
+        continue;
+      }
+      spdlog::debug("placing {}/{} on {}", id.value, index, m->id.value);
+      ++index;
+      ++placements;
+      machines.insert(m->id);
+    }
+  }
+  // Oldest first, so that none waits for ever behind others.
+  std::vector<std::pair<Instant, StretchKey>> urgent;
+  std::vector<AttemptId> stale;
+  for (const auto& [key, due] : due_) {
+    if (!factsUrgent(key, due)) continue;
+    urgent.emplace_back(due.since, key);
+    const auto& placed = s_.replica.job(key.first)->placed;
+    for (const auto& [index, fact] : due.facts) {
+      auto at = placed.find(index);
+      if (at == placed.end() || at->second.attempt != fact.attempt) {
+        stale.push_back({{key.first, index}, fact.attempt});
+      }
+    }
+  }
+  for (const auto& id : stale) forgetFact(id, *s_.replica.job(id.task.job));
+  std::sort(urgent.begin(), urgent.end());
+  for (const auto& [since, key] : urgent) {
+    if (!due_.contains(key)) continue;
+    if (!writes.open(key.first, *s_.replica.job(key.first), key.second)) break;
+  }
+  if (writes.empty()) return std::nullopt;
   Transaction t = begin();
-  std::vector<MachineId> marked, dropped;
+  writes.finish(t);
+  auto settled = std::move(writes.settled());
+  std::size_t count = settled.size();
+  return Pending{
+      std::move(t),
+      [this, settled = std::move(settled), machines] {
+        for (const auto& [attempt, gone] : settled) {
+          spdlog::debug("task {} off its machine: {}", attempt.str(), static_cast<int>(gone));
+          told_.erase(attempt);
+          forgetFact(attempt, *s_.replica.job(attempt.task.job));
+        }
+        for (const auto& m : machines) push(m);
+      },
+      std::to_string(count) + " facts, " + std::to_string(placements) + " placements on " +
+          std::to_string(machines.size()) + " machines"};
+}
+
+// First the mark that a machine gets no more work; after the cloud's 200, and once its tasks are
+// off the record, the end of its entry. One write for all machines of a rental.
+std::optional<Leader::Pending> Leader::nextReleases() {
+  std::map<RentalId, RentalRecord> drafts;
+  std::vector<MachineId> ended;
+  std::size_t marked = 0;
+  auto draftOf = [&](const RentalId& id) -> RentalRecord* {
+    auto rental = s_.replica.rentals().find(id);
+    if (rental == s_.replica.rentals().end()) return nullptr;
+    if (!drafts.contains(id) && drafts.size() >= s_.platform.transactionOps) return nullptr;
+    return &drafts.try_emplace(id, rental->second).first->second;
+  };
   for (const auto& id : releaseConfirmed_) {
-    if (t.writes.size() >= s_.platform.transactionOps) break;
-    if (s_.replica.machine(id)) addMachine(t, id, nullptr);
-    dropped.push_back(id);
-  }
-  for (const auto& [id, m] : fleet_.machines()) {
-    if (t.writes.size() >= s_.platform.transactionOps) break;
-    if (!m.releaseWanted || releaseConfirmed_.contains(id) || releasing_.contains(id)) continue;
-    const auto* record = s_.replica.machine(id);
-    if (record && record->leaving) continue;
-    MachineRecord leaving;
-    if (record) {
-      leaving = *record;
-    } else {
-      leaving.type = m.type;
-      leaving.zone = m.zone;
-      leaving.spot = m.spot;
+    const auto* state = s_.replica.machine(id);
+    if (!state) {
+      ended.push_back(id);
+    } else if (state->tasks.empty()) {
+      if (auto* draft = draftOf(state->rental)) {
+        std::erase_if(draft->machines, [&](const auto& m) { return m.id == id; });
+        ended.push_back(id);
+      }
     }
-    leaving.leaving = true;
-    addMachine(t, id, &leaving);
-    marked.push_back(id);
   }
-  auto settle = [this, dropped] {
-    for (const auto& id : dropped) {
-      releaseConfirmed_.erase(id);
-      fleet_.onReleased(id, s_.runtime.now());
+  for (const auto& id : fleet_.toRelease()) {
+    const auto* state = s_.replica.machine(id);
+    if (!state || state->leaving || releaseConfirmed_.contains(id)) continue;
+    if (auto* draft = draftOf(state->rental)) {
+      for (auto& m : draft->machines) m.leaving = m.leaving || m.id == id;
+      ++marked;
     }
+  }
+  auto settle = [this, ended] {
+    for (const auto& id : ended) releaseConfirmed_.erase(id);
   };
-  if (t.writes.empty()) {
+  if (drafts.empty()) {
     settle();
     return std::nullopt;
   }
-  return Pending{std::move(t),
-                 [this, settle] {
-                   settle();
-                   startReleases();
-                 },
-                 std::to_string(marked.size()) + " machines leaving, " +
-                     std::to_string(dropped.size()) + " gone"};
+  Transaction t = begin();
+  for (const auto& [id, draft] : drafts) {
+    std::string key = keys::rental(id);
+    t.conditions.push_back({key, s_.replica.stampOf(key)});
+    t.writes.push_back(
+        {key, draft.machines.empty() ? std::nullopt : std::optional(toJson(draft)), std::nullopt});
+  }
+  return Pending{
+      std::move(t),
+      [this, settle] {
+        settle();
+        startReleases();
+      },
+      std::to_string(marked) + " machines leaving, " + std::to_string(ended.size()) + " gone"};
 }
 
-// A rental is written down before it is asked for; its machines come on record with its end.
-std::optional<Leader::Pending> Leader::nextHire() {
+// A rental is written down before it is asked for, and again with the machines that came of it.
+std::optional<Leader::Pending> Leader::nextRentals() {
   const std::size_t limit = s_.platform.transactionOps;
   Transaction t = begin();
-  std::vector<HireId> ended;
-  for (const auto& [id, result] : hireResults_) {
-    const auto& hires = s_.replica.hires();
-    auto hire = hires.find(id);
-    if (hire == hires.end()) {
-      ended.push_back(id);
-      continue;
-    }
-    if (t.writes.size() + 1 + result.machines.size() > limit && !t.writes.empty()) break;
-    std::string key = keys::hire(id);
+  std::vector<RentalId> ended;
+  std::size_t bytes = 1024;
+  auto add = [&](const RentalId& id, std::optional<Json> value) {
+    std::string key = keys::rental(id);
     t.conditions.push_back({key, s_.replica.stampOf(key)});
-    t.writes.push_back({key, std::nullopt, std::nullopt});
+    t.writes.push_back({key, std::move(value), std::nullopt});
+  };
+  auto full = [&] { return t.writes.size() >= limit || bytes > kMaxBytes; };
+  for (const auto& [id, result] : rentalResults_) {
+    if (full()) break;
+    ended.push_back(id);
+    auto rental = s_.replica.rentals().find(id);
+    if (rental == s_.replica.rentals().end()) continue;
+    RentalRecord record = rental->second;
+    record.answered = true;
     for (const auto& machine : result.machines) {
-      if (s_.replica.machine(machine) || fleet_.isReleased(machine)) continue;
-      // More than fit are adopted from the list or their first report.
-      if (t.writes.size() >= limit) break;
-      MachineRecord record;
-      record.type = hire->second.type;
-      record.zone = hire->second.zone;
-      record.spot = hire->second.spot;
-      record.rentedAtMs = s_.runtime.wallMillis();
-      addMachine(t, machine, &record);
+      bytes += machine.value.size() + 4;
+      const auto* known = s_.replica.machine(machine);
+      if ((known && !known->rental.empty()) || fleet_.isReleased(machine)) continue;
+      record.machines.push_back({machine, false});
     }
-    ended.push_back(id);
+    add(id, record.machines.empty() ? std::nullopt : std::optional(toJson(record)));
   }
-  // Machines that nobody expected: on record (with no tasks) before they can be used.
-  for (const auto& [id, m] : fleet_.machines()) {
-    if (t.writes.size() >= limit) break;
-    if (!m.heard() || m.releaseWanted || s_.replica.machine(id)) continue;
-    bool justHired = std::any_of(hireResults_.begin(), hireResults_.end(), [&](const auto& r) {
-      const auto& list = r.second.machines;
-      return std::find(list.begin(), list.end(), id) != list.end();
-    });
-    if (justHired) continue;
-    MachineRecord record;
-    record.type = m.type;
-    record.zone = m.zone;
-    record.spot = m.spot;
-    record.address = m.memory.last->address;
-    record.rentedAtMs = s_.runtime.wallMillis();
-    addMachine(t, id, &record);
+  // Machines that nobody expected: on record before they can be used. While a rental of their
+  // kind has no answer on record yet, they are likely its own.
+  std::map<Offer, RentalRecord> adopted;
+  constexpr std::size_t kMostAdopted = 50;  // of a kind at a time, for the size of the value
+  auto adopt = [&](const MachineId& id, bool leaving) {
+    const Machine* m = fleet_.find(id);
+    const auto* known = s_.replica.machine(id);
+    if (!m || m->type.empty() || (known && !known->rental.empty())) return;
+    Offer offer{m->type, m->zone, m->spot};
+    for (const auto& [rentalId, r] : s_.replica.rentals()) {
+      if (!r.answered && Offer{r.type, r.zone, r.spot} == offer) return;
+    }
+    RentalRecord& record = adopted[offer];
+    if (record.machines.size() >= kMostAdopted) return;
+    record.machines.push_back({id, leaving});
+  };
+  for (const auto& id : fleet_.unexpected()) adopt(id, false);
+  for (const auto& id : fleet_.toRelease()) adopt(id, true);
+  for (auto& [offer, record] : adopted) {
+    if (full()) break;
+    record.id =
+        RentalId{"a-" + std::to_string(token_.value) + "-" + std::to_string(++rentalCount_)};
+    record.type = offer.type;
+    record.zone = offer.zone;
+    record.spot = offer.spot;
+    record.count = static_cast<std::uint32_t>(record.machines.size());
+    record.atMs = s_.runtime.wallMillis();
+    record.answered = true;
+    spdlog::info("{} machines in {} adopted", record.count, offer.zone.value);
+    add(record.id, toJson(record));
   }
-  std::vector<HireRecord> written;
-  while (!hireWanted_.empty() && t.writes.size() < limit) {
-    HireRecord hire = hireWanted_.front();
-    hireWanted_.pop_front();
-    std::string key = keys::hire(hire.id);
-    t.conditions.push_back({key, Revision{}});
-    t.writes.push_back({key, toJson(hire), std::nullopt});
-    written.push_back(hire);
+  std::size_t written = 0;
+  while (!rentalsWanted_.empty() && !full()) {
+    add(rentalsWanted_.front().id, toJson(rentalsWanted_.front()));
+    rentalsWanted_.pop_front();
+    ++written;
   }
   if (t.writes.empty()) {
-    for (const auto& id : ended) hireResults_.erase(id);
+    for (const auto& id : ended) rentalResults_.erase(id);
     return std::nullopt;
   }
-  return Pending{std::move(t),
-                 [this, ended] {
-                   for (const auto& id : ended) {
-                     hireResults_.erase(id);
-                     hireAsked_.erase(id);
-                   }
-                   fleet_.adoptRecords(s_.runtime.now(), s_.runtime.wallMillis());
-                   startHires();
-                 },
-                 std::to_string(written.size()) + " rentals wanted, " +
-                     std::to_string(ended.size()) + " ended"};
+  return Pending{
+      std::move(t),
+      [this, ended] {
+        for (const auto& id : ended) {
+          rentalResults_.erase(id);
+          rentalsAsked_.erase(id);
+        }
+        fleet_.adoptRecords(s_.runtime.now(), s_.runtime.wallMillis());
+        planDirty_ = true;
+        startHires();
+      },
+      std::to_string(written) + " rentals wanted, " + std::to_string(ended.size()) + " ended"};
 }
 
 std::optional<Leader::Pending> Leader::nextOther() {
@@ -310,72 +496,4 @@
   return Pending{std::move(t), nullptr, "types or forecast"};
 }
 
-// The placements of a plan that still hold. The launch follows only after the commit.
-std::optional<Leader::Pending> Leader::placementsOf(const PlanInput& input, const Plan& plan) {
-  Transaction t = begin();
-  std::map<std::size_t, MachineRecord> records;
-  std::map<JobId, Revision> jobs;
-  std::vector<AttemptId> placed;
-  std::set<MachineId> machines;
-  std::size_t listed = 0;
-  highest_ = std::max(highest_, s_.replica.cursor());
-  const std::size_t maxConditions = 4 * s_.platform.transactionOps;
-  for (const auto& p : plan.placements) {
-    const PlanMachine& target = input.machines[p.machine];
-    Machine* m = fleet_.find(target.id);
-    const auto* job = s_.replica.job(p.task.job);
-    // The picture may be older than what has been read since.
-    if (!m || !fleet_.usable(*m, s_.runtime.now()) || !job || !job->active() ||
-        job->stamp != input.jobs[p.job].stamp || job->placed.contains(p.task.index) ||
-        job->isFinished(p.task.index) ||
-        // Only on a record that exists: a late copy of a transaction that creates one could bring
-        // it back, with its tasks, after the machine was released and the tasks ran elsewhere.
-        target.stamp == Revision{} ||
-        s_.replica.stampOf(keys::machine(target.id)) != target.stamp) {
-      planDirty_ = true;
-      continue;
-    }
-    if (!jobs.contains(p.task.job) && 1 + records.size() + 1 + jobs.size() + 1 > maxConditions) {
-      planDirty_ = true;
-      continue;
-    }
-    const auto* old = s_.replica.machine(target.id);
-    if (!records.contains(p.machine)) listed += old->tasks.size();
-    if (++listed > kMaxTasksListed && !placed.empty()) {
-      planDirty_ = true;
-      break;
-    }
-    auto [it, isNew] = records.try_emplace(p.machine);
-    MachineRecord& record = it->second;
-    if (isNew) {
-      record = *old;
-      record.type = m->type;
-      record.zone = m->zone;
-      record.spot = m->spot;
-      record.address = m->memory.last->address;
-      record.tenure = m->memory.last->tenure;
-    }
-    // Larger than any attempt of this task before: each earlier placement and its end were
-    // committed at revisions up to `highest_`.
-    AttemptId id{p.task, Attempt{highest_.value}};
-    record.tasks.push_back(id);
-    jobs.emplace(p.task.job, job->stamp);
-    placed.push_back(id);
-    machines.insert(target.id);
-    spdlog::debug("placing {} on {} ({} in {}, image {})", id.str(), target.id.value,
-                  target.spot ? "spot" : "ordinary", target.zone.value,
-                  target.images.contains(job->record.spec->image) ? "there" : "to be fetched");
-  }
-  if (placed.empty()) return std::nullopt;
-  for (const auto& [index, record] : records) addMachine(t, input.machines[index].id, &record);
-  // An abort moves the job's stamp, so it and a placement can't both win.
-  for (const auto& [id, stamp] : jobs) t.conditions.push_back({keys::job(id), stamp});
-  return Pending{std::move(t),
-                 [this, machines] {
-                   for (const auto& m : machines) push(m);
-                 },
-                 std::to_string(placed.size()) + " placements on " +
-                     std::to_string(machines.size()) + " machines"};
-}
-
 }  // namespace kestrelhoist
--- a/src/app/leader_machines.cpp
+++ b/src/app/leader_machines.cpp
@@ -60,11 +60,11 @@
 // silent machines: they and all that was on them are gone.
 void Leader::startReleases() {
   if (!releasing_.empty()) return;
+  constexpr std::size_t kMostNames = 100;
   std::vector<MachineId> batch;
-  for (const auto& [id, record] : s_.replica.machines()) {
-    if (record.leaving && !releaseConfirmed_.contains(id) && batch.size() < 100) {
-      batch.push_back(id);
-    }
+  for (const auto& id : fleet_.toRelease()) {
+    const auto* state = s_.replica.machine(id);
+    if (state && state->leaving && batch.size() < kMostNames) batch.push_back(id);
   }
   if (batch.empty() || !s_.cloud.mayAsk()) return;
   releasing_.insert(batch.begin(), batch.end());
@@ -78,56 +78,63 @@
                      releasing_.clear();
                      for (const auto& id : batch) {
                        spdlog::info("machine {} released", id.value);
+                       if (const auto* state = s_.replica.machine(id)) {
+                         for (const auto& t : state->tasks) noteFact(t, Gone::lost);
+                       }
                        releaseConfirmed_.insert(id);
+                       fleet_.onReleased(id, s_.runtime.now());
                      }
+                     startReleases();
                      kick();
                    }));
 }
 
 void Leader::startHires() {
-  for (const auto& [id, hire] : s_.replica.hires()) {
-    if (hireResults_.contains(id) || hireAsked_.contains(id)) continue;
+  for (const auto& [id, rental] : s_.replica.rentals()) {
+    if (rental.answered || rentalResults_.contains(id) || rentalsAsked_.contains(id)) continue;
     if (!s_.cloud.mayAsk()) return;
-    hireAsked_.insert(id);
-    s_.cloud.hire(hire, guard([this, hire](HireResult r) { onHired(hire, r); }));
+    rentalsAsked_.insert(id);
+    s_.cloud.hire(rental, guard([this, rental](HireResult r) { onHired(rental, r); }));
   }
 }
 
-void Leader::onHired(const HireRecord& hire, const HireResult& result) {
+void Leader::onHired(const RentalRecord& rental, const HireResult& result) {
   Instant now = s_.runtime.now();
-  Offer offer{hire.type, hire.zone, hire.spot};
+  Offer offer{rental.type, rental.zone, rental.spot};
   if (result.kind == HireResult::Kind::failed) {
     // Trouble or no answer: the same name again, which rents nothing twice.
-    s_.runtime.after(kRetry, guard([this, id = hire.id] {
-                       hireAsked_.erase(id);
+    s_.runtime.after(kRetry, guard([this, id = rental.id] {
+                       rentalsAsked_.erase(id);
                        startHires();
                      }));
     return;
   }
-  if (result.machines.size() < hire.count) {
+  if (result.machines.size() < rental.count) {
     refused_[offer] = now;
   } else {
     refused_.erase(offer);
   }
-  spdlog::info("rental {}: {} of {} {} {} in {}", hire.id.value, result.machines.size(), hire.count,
-               hire.spot ? "spot" : "ordinary", hire.type.value, hire.zone.value);
-  hireResults_[hire.id] = result;
+  spdlog::info("rental {}: {} of {} {} {} in {}", rental.id.value, result.machines.size(),
+               rental.count, rental.spot ? "spot" : "ordinary", rental.type.value,
+               rental.zone.value);
+  rentalResults_[rental.id] = result;
   nextRentCheck_ = now;
   kick();
 }
 
-std::map<TypeId, TypeDemand> Leader::demandNow() const {
+std::map<TypeId, TypeDemand> Leader::demandNow() {
   std::map<TypeId, TypeDemand> demand;
   for (const auto& type : catalogue_->types) demand[type.id];
   for (const auto& [id, record] : s_.replica.machines()) {
     const MachineType* type = catalogue_->find(record.type);
     if (!type) continue;
     auto& d = demand[type->id];
+    const Machine* m = fleet_.find(id);
     for (const auto& t : record.tasks) {
-      const auto* job = s_.replica.job(t.task.job);
-      if (!job || !job->record.spec) continue;
-      double share = job->record.spec->perTask.shareOf(type->room);
-      if (!job->record.spec->spotAllowed) {
+      if (!t.job->record.spec || (m && m->memory.gone.contains(t.id))) continue;
+      const JobSpec& spec = *t.job->record.spec;
+      double share = spec.perTask.shareOf(type->room);
+      if (!spec.spotAllowed) {
         d.firmBooked += share;
       } else if (record.spot) {
         d.flexibleOnSpot += share;
@@ -180,14 +187,15 @@
       in.scarce.insert(offer);
       if (now - at < kRefusedPause) in.refused.insert(offer);
     }
-    for (const auto& [id, hire] : s_.replica.hires()) {
-      auto result = hireResults_.find(id);
-      auto n = result == hireResults_.end()
-                   ? hire.count
+    for (const auto& [id, rental] : s_.replica.rentals()) {
+      if (rental.answered) continue;
+      auto result = rentalResults_.find(id);
+      auto n = result == rentalResults_.end()
+                   ? rental.count
                    : static_cast<std::uint32_t>(result->second.machines.size());
-      in.ordered[{hire.type, hire.zone, hire.spot}] += n;
+      in.ordered[{rental.type, rental.zone, rental.spot}] += n;
     }
-    for (const auto& h : hireWanted_) in.ordered[{h.type, h.zone, h.spot}] += h.count;
+    for (const auto& r : rentalsWanted_) in.ordered[{r.type, r.zone, r.spot}] += r.count;
     for (auto& [id, m] : fleet_.machines()) {
       const auto* record = s_.replica.machine(id);
       if (m.type != type.id || m.releaseWanted || (record && record->leaving) || m.noticeEnds ||
@@ -216,8 +224,7 @@
           in.demand.flexibleWaiting, in.demand.flexible.mean, in.demand.flexible.spread,
           out.ordinaryTarget, out.spotTarget, in.machines.size());
     }
-    auto most =
-        static_cast<std::uint32_t>(std::min<std::size_t>(50, s_.platform.transactionOps - 1));
+    constexpr std::uint32_t most = 50;  // that the cloud rents at once
     std::size_t have = in.machines.size();
     for (const auto& [offer, n] : in.ordered) have += n;
     for (const auto& rental : out.rentals) {
@@ -232,8 +239,15 @@
       while (left > 0) {
         std::uint32_t n = std::min(left, most);
         // Unique for ever: tokens are, and the counter within one.
-        HireId id{"r-" + std::to_string(token_.value) + "-" + std::to_string(++hireCount_)};
-        hireWanted_.push_back({id, rental.offer.type, rental.offer.zone, rental.offer.spot, n});
+        RentalId id{"r-" + std::to_string(token_.value) + "-" + std::to_string(++rentalCount_)};
+        rentalsWanted_.push_back({id,
+                                  rental.offer.type,
+                                  rental.offer.zone,
+                                  rental.offer.spot,
+                                  n,
+                                  s_.runtime.wallMillis(),
+                                  false,
+                                  {}});
         left -= n;
       }
     }
@@ -241,7 +255,7 @@
       if (auto* m = fleet_.find(id)) fleet_.wantRelease(*m, "idle above the target");
     }
   }
-  if (!hireWanted_.empty()) kick();
+  if (!rentalsWanted_.empty()) kick();
 }
 
 void Leader::turnWindow() {
--- a/src/base/types.hpp
+++ b/src/base/types.hpp
@@ -35,7 +35,7 @@
 using TypeId = Name<struct TypeIdTag>;
 using TeamId = Name<struct TeamIdTag>;
 using ImageId = Name<struct ImageIdTag>;
-using HireId = Name<struct HireIdTag>;
+using RentalId = Name<struct RentalIdTag>;
 
 using Revision = Number<struct RevisionTag>;  // the state service's counter; a key's version
 using Token = Number<struct TokenTag>;        // stamp of the leader key: who may command workers
--- a/src/cloud/client.cpp
+++ b/src/cloud/client.cpp
@@ -5,7 +5,7 @@
 namespace kestrelhoist {
 namespace {
 constexpr Duration kTimeout{4000};
-constexpr int kPage = 200;
+constexpr int kPage = 500;  // the most that the cloud allows
 
 std::optional<ListedMachine> listedFrom(const Json& v) {
   auto id = textField(v, "ref");
@@ -42,7 +42,7 @@
              });
 }
 
-void CloudClient::hire(const HireRecord& h, std::function<void(HireResult)> done) {
+void CloudClient::hire(const RentalRecord& h, std::function<void(HireResult)> done) {
   Json body = {{"hire", h.id.value},
                {"rig", h.type.value},
                {"site", h.zone.value},
--- a/src/cloud/client.hpp
+++ b/src/cloud/client.hpp
@@ -30,7 +30,7 @@
 
   bool mayAsk() { return budget_.take(runtime_.now(), 1); }
   void types(std::function<void(std::optional<Catalogue>)> done);
-  void hire(const HireRecord& hire, std::function<void(HireResult)> done);
+  void hire(const RentalRecord& rental, std::function<void(HireResult)> done);
   // True: the machines and all that was on them are gone.
   void release(const std::vector<MachineId>& machines, std::function<void(bool)> done);
   void list(std::function<void(std::optional<std::vector<ListedMachine>>)> done);
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -36,6 +36,7 @@
   m.spot = report.spot;
   lastHeardAny_ = now;
   if (first) {
+    ++heardCount_;
     spdlog::info("machine {} heard: zone {}, {}, tenure {}, {} tasks", m.id.value, m.zone.value,
                  m.spot ? "spot" : "ordinary", report.tenure.value, report.tasks.size());
   }
@@ -63,15 +64,11 @@
 
 std::vector<Order> Fleet::ordersFor(Machine& m, Instant now, bool mayLaunch) {
   const auto* record = replica_.machine(m.id);
-  // Facts about attempts that are off the record by now are settled.
-  std::erase_if(m.memory.gone, [&](const auto& g) {
-    return !record ||
-           std::find(record->tasks.begin(), record->tasks.end(), g.first) == record->tasks.end();
-  });
-  std::erase_if(m.memory.stops, [&](const auto& s) {
-    return !record ||
-           std::find(record->tasks.begin(), record->tasks.end(), s.first) == record->tasks.end();
-  });
+  // What is known of attempts that are off the record by now is settled.
+  auto settled = [&](const auto& entry) { return !record || !record->find(entry.first); };
+  std::erase_if(m.memory.gone, settled);
+  std::erase_if(m.memory.stops, settled);
+  std::erase_if(m.memory.launched, settled);
   bool launch = mayLaunch && !(record && record->leaving);
   return reconcile(m.memory, record, token_, launch,
                    [&](const AttemptId& id) { return wishFor(m, id, now); });
@@ -109,13 +106,13 @@
     if (!job || !job->record.spec || t.state == TaskState::ended) continue;
     const auto& spec = *job->record.spec;
     auto it = std::find_if(m.images.begin(), m.images.end(),
-                           [&](const auto& i) { return i.id == spec.image; });
+                           [&](const auto& i) { return i.id == job->image; });
     bool held = t.state != TaskState::fetching;
     if (it != m.images.end()) {
       held = held || it->held;
       m.images.erase(it);
     }
-    m.images.push_front({spec.image, spec.imageGb, held});
+    m.images.push_front({job->image, spec.imageGb, held});
   }
   const MachineType* type = catalogue_ ? catalogue_->find(m.type) : nullptr;
   double space = type ? type->cacheGb : 0;
@@ -136,24 +133,28 @@
 void Fleet::wantRelease(Machine& m, const std::string& why) {
   if (m.releaseWanted) return;
   m.releaseWanted = true;
+  toRelease_.insert(m.id);
   m.releaseWhy = why;
   spdlog::info("machine {}: to be released: {}", m.id.value, why);
 }
 
 void Fleet::onReleased(const MachineId& id, Instant now) {
-  machines_.erase(id);
+  if (auto it = machines_.find(id); it != machines_.end()) {
+    if (it->second.heard()) --heardCount_;
+    machines_.erase(it);
+  }
+  toRelease_.erase(id);
+  unexpected_.erase(id);
   released_[id] = now;
   std::erase_if(released_, [&](const auto& r) { return now - r.second > kForgetReleased; });
 }
 
 bool Fleet::usable(const Machine& m, Instant now) const {
   if (!m.heard() || m.releaseWanted || m.noticeEnds || faulty(m)) return false;
-  const Report& last = *m.memory.last;
-  if (last.token != token_) return false;
+  if (m.memory.last->token != token_) return false;
   if (now - m.memory.lastHeard > 2 * platform_.reportEvery + Duration{1000}) return false;
   const auto* record = replica_.machine(m.id);
-  if (!record || record->leaving) return false;
-  return record->tasks.empty() || record->tenure == last.tenure;
+  return record && !record->leaving;
 }
 
 // A worker whose node went away reports to the next one after this long at worst.
@@ -161,17 +162,6 @@
   return 2 * platform_.reportEvery + kWorkerGivesUp + 2 * kWorkerNextNode;
 }
 
-bool Fleet::allReported() const {
-  for (const auto& [id, record] : replica_.machines()) {
-    if (record.tasks.empty() || record.leaving) continue;
-    auto it = machines_.find(id);
-    if (it == machines_.end() || !it->second.heard() || it->second.memory.last->token != token_) {
-      return false;
-    }
-  }
-  return true;
-}
-
 void Fleet::adoptRecords(Instant now, std::int64_t wallMs) {
   for (const auto& [id, record] : replica_.machines()) {
     if (released_.contains(id)) continue;
@@ -211,21 +201,15 @@
   }
 }
 
-std::size_t Fleet::silentCount(Instant now) const {
-  std::size_t n = 0;
-  for (const auto& [id, m] : machines_) {
-    if (m.heard() && now - m.memory.lastHeard > silentAfter()) ++n;
-  }
-  return n;
-}
-
 void Fleet::judge(Instant now, const Catalogue* catalogue) {
   catalogue_ = catalogue;
   std::map<ZoneId, std::pair<int, int>> zones;  // machines that report, machines that do not
   int reporting = 0;
   for (const auto& [id, m] : machines_) {
-    bool expected = m.heard() || (replica_.machine(id) && !replica_.machine(id)->tasks.empty());
-    if (!expected) continue;
+    if (!m.heard()) {
+      const auto* record = replica_.machine(id);
+      if (!record || record->tasks.empty()) continue;
+    }
     Instant last = m.heard() ? m.memory.lastHeard : since_ + silentAfter() / 2;
     if (now - last <= silentAfter()) {
       ++zones[m.zone].first;
@@ -234,8 +218,11 @@
       ++zones[m.zone].second;
     }
   }
+  unexpected_.clear();
   for (auto& [id, m] : machines_) {
+    if (m.releaseWanted) continue;
     const auto* record = replica_.machine(id);
+    if (m.heard() && (!record || record->rental.empty())) unexpected_.insert(id);
     if (record && record->leaving) {
       wantRelease(m, "release was begun");
       continue;
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -29,7 +29,7 @@
   bool releaseWanted{};
   std::string releaseWhy;
   struct Image {
-    ImageId id;
+    std::uint32_t id{};  // its number in the replica
     double gb{};
     bool held{};  // a task has run with it; otherwise it is being fetched
   };
@@ -58,6 +58,11 @@
 
   Machine* find(const MachineId& id);
   std::map<MachineId, Machine>& machines() { return machines_; }
+  std::size_t heardCount() const { return heardCount_; }
+  // Machines to be released, until they are.
+  const std::set<MachineId>& toRelease() const { return toRelease_; }
+  // Machines that report although they are on no rental's record, found by judge().
+  const std::set<MachineId>& unexpected() const { return unexpected_; }
   void requestStop(const AttemptId& id, const MachineId& machine, Duration grace);
   void wantRelease(Machine& m, const std::string& why);
   // The cloud has confirmed the release: whatever its name still appears in is old.
@@ -70,10 +75,7 @@
   void judge(Instant now, const Catalogue* catalogue);
   // The newest sign of any worker.
   Instant lastHeardAny() const { return lastHeardAny_; }
-  // All machines that should report have done so under the present token.
-  bool allReported() const;
   bool faulty(const Machine& m) const { return m.failedJobs.size() >= 2; }
-  std::size_t silentCount(Instant now) const;
 
  private:
   Wish wishFor(const Machine& m, const AttemptId& id, Instant now) const;
@@ -87,6 +89,9 @@
   Instant lastHeardAny_{};
   std::map<MachineId, Machine> machines_;
   std::map<MachineId, Instant> released_;
+  std::set<MachineId> toRelease_;
+  std::set<MachineId> unexpected_;
+  std::size_t heardCount_ = 0;
   const Catalogue* catalogue_ = nullptr;
 };
 
--- a/src/fleet/reconcile.cpp
+++ b/src/fleet/reconcile.cpp
@@ -1,7 +1,5 @@
 #include "fleet/reconcile.hpp"
 
-#include <algorithm>
-
 namespace kestrelhoist {
 namespace {
 
@@ -37,7 +35,7 @@
   return true;
 }
 
-std::vector<Order> reconcile(MachineMemory& m, const MachineRecord* record, Token token,
+std::vector<Order> reconcile(MachineMemory& m, const MachineState* record, Token token,
                              bool mayLaunch, const std::function<Wish(const AttemptId&)>& wish) {
   std::vector<Order> orders;
   if (!m.last) return orders;
@@ -45,15 +43,15 @@
   auto add = [&](Order::Kind kind, const AttemptId& id, Duration grace = Duration{0}) {
     if (orders.size() < kMaxOrders) orders.push_back({kind, id, grace});
   };
-  static const std::vector<AttemptId> kNone;
+  static const std::vector<TaskOn> kNone;
   const auto& onRecord = record ? record->tasks : kNone;
-  // A report of an earlier session than the record's says nothing about its placements.
-  bool older = record && report.tenure < record->tenure;
-  bool newer = record && report.tenure > record->tenure;
 
-  for (const auto& id : onRecord) {
-    if (older) break;
-    if (newer) {
+  for (const auto& on : onRecord) {
+    const AttemptId& id = on.id;
+    // A report of an earlier session than the placement's says nothing about it; in a later one
+    // the task is gone.
+    if (report.tenure < on.tenure) continue;
+    if (report.tenure > on.tenure) {
       m.gone.emplace(id, Gone::lost);
       continue;
     }
@@ -94,7 +92,7 @@
   }
 
   for (const auto& task : report.tasks) {
-    if (std::find(onRecord.begin(), onRecord.end(), task.id) != onRecord.end()) continue;
+    if (record && record->find(task.id)) continue;
     if (task.state != TaskState::ended) {
       // On no record, so nobody may run it here.
       add(Order::Kind::stop, task.id);
--- a/src/fleet/reconcile.hpp
+++ b/src/fleet/reconcile.hpp
@@ -7,7 +7,7 @@
 #include <set>
 
 #include "fleet/report.hpp"
-#include "store/records.hpp"
+#include "store/replica.hpp"
 
 namespace kestrelhoist {
 
@@ -38,7 +38,7 @@
 bool takeReport(MachineMemory& memory, const Report& report, Instant now);
 
 // Updates memory.gone and returns the orders. `record` is null for a machine that has none.
-std::vector<Order> reconcile(MachineMemory& memory, const MachineRecord* record, Token token,
+std::vector<Order> reconcile(MachineMemory& memory, const MachineState* record, Token token,
                              bool mayLaunch, const std::function<Wish(const AttemptId&)>& wish);
 
 }  // namespace kestrelhoist
--- a/src/fleet/reconcile_test.cpp
+++ b/src/fleet/reconcile_test.cpp
@@ -10,13 +10,10 @@
 
 struct Fixture : testing::Test {
   MachineMemory memory;
-  MachineRecord record;
+  MachineState record;
   bool stop = false;
 
-  Fixture() {
-    record.tenure = Tenure{2};
-    record.tasks = {kTask};
-  }
+  Fixture() { record.tasks = {{kTask, Tenure{2}, nullptr}}; }
   Report report(std::uint64_t tenure, std::uint64_t tick, std::uint64_t token) {
     Report r;
     r.machine = MachineId{"host-000001"};
--- a/src/jobs/service.cpp
+++ b/src/jobs/service.cpp
@@ -136,7 +136,8 @@
   std::shared_ptr<const JobSpec> spec;
   if (!refusal) {
     spec = std::make_shared<const JobSpec>(std::get<JobSpec>(std::move(parsed)));
-    JobRecord record{spec, JobPhase::active, runtime_.wallMillis()};
+    JobRecord record{spec, JobPhase::active, runtime_.wallMillis(),
+                     stretchFor(platform_.valueBytes)};
     if (toJson(record).dump().size() + 256 > platform_.valueBytes) {
       refusal = jsonResponse(400, {{"error", "too long"}});
     }
@@ -172,7 +173,7 @@
 void JobService::create(std::shared_ptr<const JobSpec> spec, int triesLeft,
                         const Respond& respond) {
   if (waiting_ >= kMaxWaiting) return respond(retryLater(429));
-  JobRecord record{spec, JobPhase::active, runtime_.wallMillis()};
+  JobRecord record{spec, JobPhase::active, runtime_.wallMillis(), stretchFor(platform_.valueBytes)};
   Transaction t;
   t.conditions.push_back({keys::job(spec->id), Revision{}});
   t.writes.push_back({keys::job(spec->id), toJson(record), std::nullopt});
--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -1,8 +1,10 @@
 #include "placement/planner.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <numeric>
+#include <set>
 
 namespace kestrelhoist {
 
@@ -17,27 +19,40 @@
 // the image: about what a stop and a launch take.
 constexpr double kWorthStopping = 3.0;
 
-// Points of a machine's score; a spot machine is worth 30, a full one 10 more than an empty one.
+// Points of a machine's score; a full machine is worth 10 more than an empty one.
 constexpr double kPerSecondOfFetch = 3.0;
+constexpr double kSpot = 30.0;
+constexpr double kSiblingHere = 200.0;
+constexpr double kSiblingInZone = 20.0;
+
+// A machine with its score (higher is better) or the cost of making room there (negated).
+struct Choice {
+  double value{};
+  std::size_t machine{};
+  bool operator<(const Choice& o) const {
+    return value != o.value ? value < o.value : machine > o.machine;
+  }
+};
 
 class Planner {
  public:
   explicit Planner(const PlanInput& in) : in_(in) {
-    for (const auto& m : in_.machines) {
-      Room free = m.room, soon = m.room;
-      for (const auto& t : m.tasks) {
-        free -= t.spec->perTask;
-        if (!t.stopping) soon -= t.spec->perTask;
-        state_.used[t.spec->team] += t.spec->perTask;
-      }
-      state_.free.push_back(free);
-      state_.soon.push_back(soon);
-      state_.slots.push_back(m.slots);
-      auto& fetching = state_.fetching.emplace_back();
-      for (const auto& t : m.tasks) {
-        if (!m.held.contains(t.spec->image)) fetching[t.spec->image] = t.spec->imageGb;
+    state_.free.reserve(in_.machines.size());
+    state_.soon.reserve(in_.machines.size());
+    state_.images.reserve(in_.machines.size());
+    for (std::size_t m = 0; m < in_.machines.size(); ++m) {
+      const auto& machine = in_.machines[m];
+      state_.free.push_back(machine.free);
+      state_.soon.push_back(machine.soon);
+      state_.images.push_back(machine.images);
+      if (!machine.usable) continue;
+      if (someRoom(machine.free)) open_.push_back(m);
+      if (!machine.stoppable.empty() || machine.soon.gpus > machine.free.gpus ||
+          machine.soon.cpus > machine.free.cpus || machine.soon.ramGb > machine.free.ramGb) {
+        clearable_.push_back(m);
       }
     }
+    state_.used = in_.used;
     state_.plan.unplaced.resize(in_.jobs.size());
   }
 
@@ -59,39 +74,48 @@
   }
 
  private:
+  static bool someRoom(const Room& r) { return r.cpus > 0 && r.ramGb > 0; }
+
   void placeJob(std::size_t j) {
     const PlanJob& job = in_.jobs[j];
+    job_ = &job;
+    spec_ = job.spec.get();
     perZone_ = job.perZone;
-    siblings_.clear();
-    for (std::size_t m = 0; m < in_.machines.size(); ++m) {
-      for (const auto& t : in_.machines[m].tasks) {
-        if (t.id.task.job == job.spec->id) ++siblings_[m];
-      }
+    siblings_ = job.siblings;
+    if (emittedJobs_ >= in_.maxJobs) {
+      // Its turn comes with a later plan; until then, what finds no room counts as demand.
+      std::uint32_t fits = countFits(job.waiting);
+      if (fits > 0) state_.plan.deferred = true;
+      state_.plan.unplaced[j] = job.waiting - fits;
+      return;
     }
+    std::size_t emitted = state_.plan.placements.size();
     // A gang only runs whole: if it does not fit, nothing of it is placed.
     std::optional<State> before;
-    if (job.spec->kind == JobKind::gang) before = state_;
+    if (spec_->kind == JobKind::gang) before = state_;
     std::uint32_t placed = placeTasks(j);
-    if (before && placed < job.waitingCount) {
+    if (before && placed < job.waiting) {
       state_ = std::move(*before);
       placed = 0;
     }
-    state_.plan.unplaced[j] = job.waitingCount - placed;
+    if (state_.plan.placements.size() > emitted) ++emittedJobs_;
+    state_.plan.unplaced[j] = job.waiting - placed;
   }
 
   std::uint32_t placeTasks(std::size_t j) {
-    const PlanJob& job = in_.jobs[j];
+    std::vector<Choice> free = freeChoices();
+    clearing_[0].reset();
+    clearing_[1].reset();
     std::uint32_t placed = 0;
-    for (auto index : job.waiting) {
-      if (!withinLimit(*job.spec)) break;
-      auto machine = bestFree(*job.spec);
-      if (machine && slowToFetch(*job.spec, *machine) && makeRoom(*job.spec, true)) {
+    while (placed < job_->waiting && withinLimit()) {
+      auto m = bestFree(free);
+      if (m && slowToFetch(*m) && makeRoom(true)) {
         // Less important work goes from a machine that has the image.
-      } else if (machine) {
-        book(*job.spec, *machine);
-        state_.soon[*machine] -= job.spec->perTask;
-        emit(j, index, *machine);
-      } else if (!makeRoom(*job.spec, false)) {
+      } else if (m) {
+        book(*m);
+        state_.soon[*m] -= spec_->perTask;
+        state_.plan.placements.push_back({j, *m});
+      } else if (!makeRoom(false)) {
         break;  // the next task of this job is no smaller
       }
       ++placed;
@@ -99,203 +123,239 @@
     return placed;
   }
 
-  void emit(std::size_t j, std::uint32_t index, std::size_t m) {
-    if (!state_.changed.contains(m) && state_.changed.size() >= in_.maxMachines) {
-      state_.plan.deferred = true;
-      return;
+  // ---- on free room ----
+
+  std::vector<Choice> freeChoices() {
+    std::vector<Choice> out;
+    if (spec_->oneZone) measureZones();
+    for (auto m : open_) {
+      if (spec_->perTask.fitsIn(state_.free[m]) && allowed(m)) out.push_back({score(m), m});
+    }
+    std::make_heap(out.begin(), out.end());
+    return out;
+  }
+
+  // The best machine with room, which stays in `choices` until it is found full.
+  std::optional<std::size_t> bestFree(std::vector<Choice>& choices) {
+    while (!choices.empty()) {
+      Choice top = choices.front();
+      std::pop_heap(choices.begin(), choices.end());
+      choices.pop_back();
+      if (!spec_->perTask.fitsIn(state_.free[top.machine]) || !allowed(top.machine)) continue;
+      double now = score(top.machine);
+      choices.push_back({now, top.machine});
+      std::push_heap(choices.begin(), choices.end());
+      // Scores change as tasks are placed: take it only if it is still the best.
+      if (now >= top.value || choices.front().machine == top.machine) return top.machine;
     }
-    state_.changed.insert(m);
-    state_.plan.placements.push_back({{in_.jobs[j].spec->id, index}, j, m});
+    return std::nullopt;
   }
 
-  void book(const JobSpec& spec, std::size_t m) {
-    if (!in_.machines[m].held.contains(spec.image)) state_.fetching[m][spec.image] = spec.imageGb;
-    state_.free[m] -= spec.perTask;
-    --state_.slots[m];
-    state_.used[spec.team] += spec.perTask;
+  // How many tasks find room, without looking for the best place. Books the room.
+  std::uint32_t countFits(std::uint32_t wanted) {
+    std::uint32_t placed = 0;
+    for (auto m : open_) {
+      while (placed < wanted && spec_->perTask.fitsIn(state_.free[m]) && allowed(m) &&
+             withinLimit()) {
+        book(m);
+        state_.soon[m] -= spec_->perTask;
+        ++placed;
+      }
+      if (placed == wanted) break;
+    }
+    return placed;
+  }
+
+  void book(std::size_t m) {
+    auto& images = state_.images[m];
+    if (std::none_of(images.begin(), images.end(),
+                     [&](const PlanImage& i) { return i.id == job_->image; })) {
+      images.push_back({job_->image, spec_->imageGb, false});
+    }
+    state_.free[m] -= spec_->perTask;
+    state_.used[job_->team] += spec_->perTask;
     ++perZone_[in_.machines[m].zone];
-    ++siblings_[m];
+    if (spec_->kind == JobKind::service) ++siblings_[m];
   }
 
-  bool withinLimit(const JobSpec& spec) const {
-    auto team = in_.teams.find(spec.team);
-    if (team == in_.teams.end()) return false;
-    auto used = state_.used.find(spec.team);
-    Room total = spec.perTask + (used == state_.used.end() ? Room{} : used->second);
-    const Room& limit = team->second.limit;
+  bool withinLimit() const {
+    if (!in_.teamKnown[job_->team]) return false;
+    Room total = spec_->perTask + state_.used[job_->team];
+    const Room& limit = in_.teams[job_->team].limit;
     return (limit.cpus <= 0 || total.cpus <= limit.cpus + 1e-6) &&
            (limit.gpus <= 0 || total.gpus <= limit.gpus + 1e-6);
   }
 
   // Whether the task may be on this machine at all, given the job's other tasks.
-  bool allowed(const JobSpec& spec, std::size_t m) const {
+  bool allowed(std::size_t m) const {
     const auto& machine = in_.machines[m];
-    if (!machine.usable || state_.slots[m] == 0) return false;
-    if (!spec.allowsType(machine.type) || (machine.spot && !spec.spotAllowed)) return false;
-    if (spec.zone && *spec.zone != machine.zone) return false;
-    auto here = perZone_.find(machine.zone);
-    std::uint32_t inZone = here == perZone_.end() ? 0 : here->second;
-    if (spec.spread && inZone >= spec.zoneLimit()) return false;
-    if (spec.oneZone && inZone == 0) {
-      for (const auto& [zone, count] : perZone_) {
-        if (count > 0) return false;
-      }
+    if ((machine.spot && !spec_->spotAllowed) || !spec_->allowsType(machine.type)) return false;
+    if (job_->zone && *job_->zone != machine.zone) return false;
+    if (spec_->spread && perZone_[machine.zone] >= spec_->zoneLimit()) return false;
+    if (spec_->oneZone && perZone_[machine.zone] == 0) {
+      return std::all_of(perZone_.begin(), perZone_.end(), [](auto n) { return n == 0; });
     }
     return true;
   }
 
-  double score(const JobSpec& spec, std::size_t m) const {
+  double score(std::size_t m) const {
     const auto& machine = in_.machines[m];
-    double s = 0;
-    s -= kPerSecondOfFetch * startDelayS(spec, m);
-    if (spec.spotAllowed && machine.spot) s += 30;
-    auto here = siblings_.find(m);
-    if (spec.kind == JobKind::service && here != siblings_.end()) s -= 200.0 * here->second;
+    double s = -kPerSecondOfFetch * startDelayS(m);
+    if (spec_->spotAllowed && machine.spot) s += kSpot;
+    if (spec_->kind == JobKind::service) {
+      if (auto here = siblings_.find(m); here != siblings_.end()) s -= kSiblingHere * here->second;
+      // Fewer of its replicas go when a zone does.
+      if (spec_->spread) s -= kSiblingInZone * perZone_[machine.zone];
+    }
     // The fullest machine that holds it, so that whole machines fall idle.
     s += 10 * (machine.room - state_.free[m]).shareOf(machine.room);
-    if (spec.oneZone && perZone_.empty()) {
-      // All must follow into this zone: the one with the most room.
-      double room = 0;
-      for (std::size_t o = 0; o < in_.machines.size(); ++o) {
-        if (in_.machines[o].zone == machine.zone && in_.machines[o].usable) {
-          room += 1.0 - (machine.room - state_.free[o]).shareOf(machine.room);
-        }
-      }
-      s += 1000 * room;
-    }
+    // All must follow into this zone: the one with the most room.
+    if (spec_->oneZone) s += 1000 * zoneRoom_[machine.zone];
     return s;
   }
 
-  std::optional<std::size_t> bestFree(const JobSpec& spec) const {
-    std::optional<std::size_t> best;
-    double bestScore = -std::numeric_limits<double>::infinity();
-    for (std::size_t m = 0; m < in_.machines.size(); ++m) {
-      if (!spec.perTask.fitsIn(state_.free[m]) || !allowed(spec, m)) continue;
-      double s = score(spec, m);
-      if (s > bestScore) {
-        best = m;
-        bestScore = s;
-      }
+  void measureZones() {
+    zoneRoom_.assign(in_.zones, 0);
+    for (auto m : open_) {
+      const auto& machine = in_.machines[m];
+      zoneRoom_[machine.zone] += 1.0 - (machine.room - state_.free[m]).shareOf(machine.room);
     }
-    return best;
   }
 
-  static bool exceeds(const Room& used, const Room& guaranteed) {
-    return used.cpus > guaranteed.cpus + 1e-6 || used.gpus > guaranteed.gpus + 1e-6;
-  }
+  // ---- images ----
 
-  bool withinGuarantee(const JobSpec& spec) const {
-    auto team = in_.teams.find(spec.team);
-    if (team == in_.teams.end()) return false;
-    const Room& g = team->second.guaranteed;
-    if (g.cpus <= 0 && g.gpus <= 0) return false;
-    auto used = state_.used.find(spec.team);
-    return !exceeds(spec.perTask + (used == state_.used.end() ? Room{} : used->second), g);
-  }
-
-  // The two cases in which a task may be stopped for another's sake.
-  bool mayStopFor(const JobSpec& spec, bool guaranteed, const PlanTask& victim) const {
-    if (victim.stopping) return false;
-    if (victim.spec->priority < spec.priority) return true;
-    if (!guaranteed || victim.spec->team == spec.team) return false;
-    auto team = in_.teams.find(victim.spec->team);
-    auto used = state_.used.find(victim.spec->team);
-    if (used == state_.used.end()) return false;
-    return exceeds(used->second, team == in_.teams.end() ? Room{} : team->second.guaranteed);
+  bool holds(std::size_t m) const {
+    for (const auto& i : in_.machines[m].images) {
+      if (i.id == job_->image) return i.held;
+    }
+    return false;
   }
 
-  double fetchS(const JobSpec& spec, std::size_t m) const {
+  double fetchS(std::size_t m) const {
     const auto& machine = in_.machines[m];
-    return machine.fetchGbPerS > 0 ? spec.imageGb / machine.fetchGbPerS : 0;
+    return machine.fetchGbPerS > 0 ? spec_->imageGb / machine.fetchGbPerS : 0;
   }
 
   // How long a task would wait for its image there; fetches of several images share the rate.
-  double startDelayS(const JobSpec& spec, std::size_t m) const {
-    const auto& machine = in_.machines[m];
-    if (machine.held.contains(spec.image) || machine.fetchGbPerS <= 0) return 0;
+  double startDelayS(std::size_t m) const {
+    double rate = in_.machines[m].fetchGbPerS;
+    if (rate <= 0) return 0;
     double others = 0;
     bool underWay = false;
-    for (const auto& [image, gb] : state_.fetching[m]) {
-      if (image == spec.image) {
+    for (const auto& i : state_.images[m]) {
+      if (i.id == job_->image) {
+        if (i.held) return 0;
         underWay = true;
-      } else {
-        others += gb;
+      } else if (!i.held) {
+        others += i.gb;
       }
     }
     // Half of a fetch that is under way is over, on average.
-    return ((underWay ? 0.5 : 1.0) * spec.imageGb + others) / machine.fetchGbPerS;
+    return ((underWay ? 0.5 : 1.0) * spec_->imageGb + others) / rate;
   }
 
   // Whether fetching the image there takes longer than stopping less important work elsewhere.
-  bool slowToFetch(const JobSpec& spec, std::size_t m) const {
-    return spec.priority > Priority::low && !in_.machines[m].held.contains(spec.image) &&
-           fetchS(spec, m) > kWorthStopping;
+  bool slowToFetch(std::size_t m) const {
+    return spec_->priority > Priority::low && !holds(m) && fetchS(m) > kWorthStopping;
+  }
+
+  // ---- on room that others must leave ----
+
+  static bool exceeds(const Room& used, const Room& guaranteed) {
+    return used.cpus > guaranteed.cpus + 1e-6 || used.gpus > guaranteed.gpus + 1e-6;
+  }
+
+  bool withinGuarantee() const {
+    if (!in_.teamKnown[job_->team]) return false;
+    const Room& g = in_.teams[job_->team].guaranteed;
+    if (g.cpus <= 0 && g.gpus <= 0) return false;
+    return !exceeds(spec_->perTask + state_.used[job_->team], g);
+  }
+
+  // The two cases in which a task may be stopped for another's sake.
+  bool mayStop(bool guaranteed, const PlanTask& victim) const {
+    if (victim.spec->priority < spec_->priority) return true;
+    if (!guaranteed || victim.team == job_->team) return false;
+    return exceeds(state_.used[victim.team], in_.teams[victim.team].guaranteed);
   }
 
   // Whether stopping something there helps a task whose image is missing where there is room. Not
   // where there is room already: bestFree() preferred another machine, say for a replica on the
   // same one, and room that is only set aside would keep the task waiting.
-  bool worthWarming(const JobSpec& spec, std::size_t m) const {
-    return in_.machines[m].held.contains(spec.image) && !spec.perTask.fitsIn(state_.free[m]) &&
-           !(spec.kind == JobKind::service && siblings_.contains(m));
+  bool worthWarming(std::size_t m) const {
+    return holds(m) && !spec_->perTask.fitsIn(state_.free[m]) &&
+           !(spec_->kind == JobKind::service && siblings_.contains(m));
   }
 
-  // Takes room that is about to be free, or stops less important work for it. The task is placed
-  // by a later plan, once the room is free. `warm`: only where the image is, and only if that
-  // costs less than the fetch.
-  bool makeRoom(const JobSpec& spec, bool warm) {
-    for (std::size_t m = 0; m < in_.machines.size(); ++m) {
-      if (warm && !worthWarming(spec, m)) continue;
-      if (allowed(spec, m) && spec.perTask.fitsIn(state_.soon[m])) {
-        state_.soon[m] -= spec.perTask;
-        book(spec, m);
-        return true;
-      }
-    }
-    bool guaranteed = withinGuarantee(spec);
-    std::optional<std::size_t> best;
-    std::vector<const PlanTask*> bestVictims;
-    double bestCost = std::numeric_limits<double>::infinity();
-    for (std::size_t m = 0; m < in_.machines.size(); ++m) {
-      if (!allowed(spec, m)) continue;
-      if (warm && !worthWarming(spec, m)) continue;
+  // What making room there costs, about in seconds, and who must go.
+  std::optional<double> clearingCost(std::size_t m, bool warm,
+                                     std::vector<const PlanTask*>& victims) const {
+    victims.clear();
+    if (!allowed(m) || (warm && !worthWarming(m))) return std::nullopt;
+    Room room = state_.soon[m];
+    double cost = holds(m) ? 0 : 20 + fetchS(m);
+    if (spec_->kind == JobKind::service && siblings_.contains(m)) cost += 1000;
+    if (!spec_->perTask.fitsIn(room)) {
+      bool guaranteed = withinGuarantee();
       std::vector<const PlanTask*> candidates;
-      for (const auto& t : in_.machines[m].tasks) {
-        if (!state_.stopped.contains(t.id) && mayStopFor(spec, guaranteed, t))
-          candidates.push_back(&t);
+      for (const auto& t : in_.machines[m].stoppable) {
+        if (!state_.stopped.contains(t.id) && mayStop(guaranteed, t)) candidates.push_back(&t);
       }
       // The least important and, among equals, the youngest loses the least.
       std::sort(candidates.begin(), candidates.end(), [](const PlanTask* a, const PlanTask* b) {
         if (a->spec->priority != b->spec->priority) return a->spec->priority < b->spec->priority;
         return a->age < b->age;
       });
-      Room room = state_.soon[m];
-      std::vector<const PlanTask*> victims;
-      double cost = in_.machines[m].held.contains(spec.image) ? 0 : 20 + fetchS(spec, m);
-      auto here = siblings_.find(m);
-      if (spec.kind == JobKind::service && here != siblings_.end()) cost += 1000;
       for (const auto* v : candidates) {
-        if (spec.perTask.fitsIn(room)) break;
+        if (spec_->perTask.fitsIn(room)) break;
         room += v->spec->perTask;
         victims.push_back(v);
         double lost = v->spec->checkpoints() ? toSeconds(v->spec->saveTime) : toSeconds(v->age);
         cost += 10 + std::min(300.0, lost);
       }
-      if (!spec.perTask.fitsIn(room) || cost >= bestCost) continue;
-      if (warm && cost > 10 + 2 * fetchS(spec, m)) continue;
-      best = m;
-      bestVictims = victims;
-      bestCost = cost;
+      if (!spec_->perTask.fitsIn(room)) return std::nullopt;
+    }
+    if (warm && cost > 10 + 2 * fetchS(m)) return std::nullopt;
+    return cost;
+  }
+
+  // Takes room that is about to be free, or stops less important work for it. The task is placed
+  // by a later plan, once the room is free. `warm`: only where the image is, and only if that
+  // costs less than the fetch.
+  bool makeRoom(bool warm) {
+    auto& choices = clearing_[warm ? 1 : 0];
+    std::vector<const PlanTask*> victims;
+    if (!choices) {
+      choices.emplace();
+      for (auto m : clearable_) {
+        if (auto cost = clearingCost(m, warm, victims)) choices->push_back({-*cost, m});
+      }
+      std::make_heap(choices->begin(), choices->end());
     }
-    if (!best) return false;
-    for (const auto* v : bestVictims) {
-      state_.plan.stops.push_back({v->id, in_.machines[*best].id, graceFor(*v->spec)});
-      state_.stopped.insert(v->id);
-      state_.soon[*best] += v->spec->perTask;
+    while (!choices->empty()) {
+      Choice top = choices->front();
+      std::pop_heap(choices->begin(), choices->end());
+      choices->pop_back();
+      auto cost = clearingCost(top.machine, warm, victims);
+      if (!cost) continue;
+      if (-*cost < top.value && !choices->empty() && -*cost < choices->front().value) {
+        choices->push_back({-*cost, top.machine});
+        std::push_heap(choices->begin(), choices->end());
+        continue;
+      }
+      std::size_t m = top.machine;
+      for (const auto* v : victims) {
+        state_.plan.stops.push_back({v->id, in_.machines[m].id, graceFor(*v->spec)});
+        state_.stopped.insert(v->id);
+        state_.soon[m] += v->spec->perTask;
+      }
+      state_.soon[m] -= spec_->perTask;
+      book(m);
+      choices->push_back({-*cost, m});
+      std::push_heap(choices->begin(), choices->end());
+      return true;
     }
-    state_.soon[*best] -= spec.perTask;
-    book(spec, *best);
-    return true;
+    return false;
   }
 
   // What has been decided so far; copied to try out a gang.
@@ -303,18 +363,23 @@
     Plan plan;
     std::vector<Room> free;  // now, less what this plan books
     std::vector<Room> soon;  // once everything that is stopping has gone
-    std::vector<std::size_t> slots;
-    std::vector<std::map<ImageId, double>> fetching;  // images on their way, with their size
-    std::map<TeamId, Room> used;
-    std::set<std::size_t> changed;
+    std::vector<std::vector<PlanImage>> images;
+    std::vector<Room> used;  // by team
     std::set<AttemptId> stopped;
   };
 
   const PlanInput& in_;
   State state_;
+  std::vector<std::size_t> open_;       // machines with some room
+  std::vector<std::size_t> clearable_;  // machines with something that may go or is going
+  std::size_t emittedJobs_ = 0;
   // Of the job being placed:
-  std::map<ZoneId, std::uint32_t> perZone_;
+  const PlanJob* job_ = nullptr;
+  const JobSpec* spec_ = nullptr;
+  std::vector<std::uint32_t> perZone_;
   std::map<std::size_t, std::uint32_t> siblings_;
+  std::vector<double> zoneRoom_;
+  std::optional<std::vector<Choice>> clearing_[2];  // cold and warm
 };
 
 }  // namespace
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -1,59 +1,69 @@
-// What goes where. Pure: a picture of the cluster in, placements and stops out.
+// What goes where: waiting tasks to machines, and what is stopped to make room. Pure.
+// Works on a compact picture; its cost follows the machines with room and the tasks that wait.
 #pragma once
 
 #include <map>
 #include <memory>
-#include <set>
+#include <optional>
 #include <vector>
 
 #include "base/types.hpp"
 #include "config/platform.hpp"
 #include "jobs/spec.hpp"
-#include "store/client.hpp"
 
 namespace kestrelhoist {
 
 struct PlanTask {
   AttemptId id;
   std::shared_ptr<const JobSpec> spec;
-  bool stopping{};  // its stop was asked for: the room will be free soon
-  Duration age{};   // since it was placed, as far as known
+  std::uint32_t team{};
+  Duration age{};  // since it was seen to run, as far as known
+};
+
+struct PlanImage {
+  std::uint32_t id{};
+  double gb{};
+  bool held{};  // needs no fetch any more
 };
 
 struct PlanMachine {
   MachineId id;
   TypeId type;
-  ZoneId zone;
+  std::uint32_t zone{};
   bool spot{};
-  bool usable{};                // may get new work now
-  Room room;                    // of the whole machine
-  std::size_t slots{};          // how many more tasks its record can hold
-  std::vector<PlanTask> tasks;  // everything that may be on it
-  std::set<ImageId> images;     // cached or being fetched, as far as known
-  std::set<ImageId> held;       // of these, the ones that need no fetch any more
+  bool usable{};                    // may get new work now
+  Room room;                        // of the whole machine
+  Room free;                        // now
+  Room soon;                        // once everything that is stopping has gone
+  std::vector<PlanImage> images;    // cached, being fetched or needed by what is placed there
+  std::vector<PlanTask> stoppable;  // if something that waits may stop others
   double fetchGbPerS{};
-  Revision stamp;
 };
 
 struct PlanJob {
   std::shared_ptr<const JobSpec> spec;
   std::int64_t acceptedAtMs{};
   double remainingS{};  // estimated run time of all its tasks that are not done, together
-  std::vector<std::uint32_t> waiting;       // first tasks to place, bounded
-  std::uint32_t waitingCount{};             // all of them
-  std::map<ZoneId, std::uint32_t> perZone;  // tasks that may be on machines
+  std::uint32_t waiting{};
+  std::uint32_t image{};
+  std::uint32_t team{};
+  std::optional<std::uint32_t> zone;              // the only allowed one
+  std::vector<std::uint32_t> perZone;             // tasks that may be on machines
+  std::map<std::size_t, std::uint32_t> siblings;  // of a service: tasks by machine
   Revision stamp;
 };
 
 struct PlanInput {
   std::vector<PlanMachine> machines;
   std::vector<PlanJob> jobs;
-  std::map<TeamId, Team> teams;
-  std::size_t maxMachines{};  // how many machines' records may change
+  std::vector<Team> teams;  // guarantee and limit, by number; those of unknown teams are zero
+  std::vector<bool> teamKnown;
+  std::vector<Room> used;  // by team
+  std::size_t zones{};
+  std::size_t maxJobs{};  // of how many jobs tasks may be placed: the rest waits for the next plan
 };
 
 struct Placement {
-  TaskId task;
   std::size_t job{};      // index in the input
   std::size_t machine{};  // index in the input
 };
@@ -65,10 +75,10 @@
 };
 
 struct Plan {
-  std::vector<Placement> placements;
+  std::vector<Placement> placements;  // one for each task, the most important first
   std::vector<Stop> stops;
   std::vector<std::uint32_t> unplaced;  // per job of the input: tasks that found no room
-  bool deferred{};                      // there were placements beyond maxMachines
+  bool deferred{};                      // there was room for more jobs than maxJobs
 };
 
 Plan makePlan(const PlanInput& input);
--- a/src/placement/planner_test.cpp
+++ b/src/placement/planner_test.cpp
@@ -19,37 +19,48 @@
   return std::make_shared<const JobSpec>(std::move(s));
 }
 
-PlanMachine machine(const char* id, const char* zone, bool held) {
+PlanMachine machine(const char* id, std::uint32_t zone, bool held) {
   PlanMachine m;
   m.id = MachineId{id};
   m.type = TypeId{"box"};
-  m.zone = ZoneId{zone};
+  m.zone = zone;
   m.usable = true;
-  m.room = {2, 2, 2};
-  m.slots = 10;
+  m.room = m.free = m.soon = {2, 2, 2};
   m.fetchGbPerS = 0.25;
-  if (held) m.held = {ImageId{"img"}};
+  if (held) m.images = {{0, 10, true}};
   return m;
 }
 
 PlanInput inputWith(std::shared_ptr<const JobSpec> s) {
   PlanInput in;
-  in.teams[TeamId{"t"}] = Team{};
-  in.maxMachines = 8;
+  in.teams = {Team{}};
+  in.teamKnown = {true};
+  in.used.resize(1);
+  in.zones = 3;
+  in.maxJobs = 8;
   PlanJob j;
-  j.waitingCount = s->tasks;
-  for (std::uint32_t i = 0; i < s->tasks; ++i) j.waiting.push_back(i);
+  j.waiting = s->tasks;
+  j.perZone.resize(in.zones);
   j.spec = std::move(s);
   in.jobs.push_back(std::move(j));
   return in;
 }
 
+// With running tasks until it is full.
+void fill(PlanMachine& m, const std::shared_ptr<const JobSpec>& job) {
+  for (std::uint32_t i = 0; i < 2; ++i) {
+    m.stoppable.push_back({{{job->id, i}, Attempt{1}}, job, 0, Duration{2000}});
+    m.free -= job->perTask;
+    m.soon -= job->perTask;
+  }
+}
+
 // Found on a drawn day: the third replica waited 23 s, since the room beside its sibling on a warm
 // machine was set aside for it in every plan and never used.
 TEST(Planner, AReplicaIsPlacedColdRatherThanLeftWaitingForRoomBesideItsSibling) {
   auto in = inputWith(spec("j-000001", JobKind::service, Priority::production, 2));
-  in.machines.push_back(machine("warm", "a", true));
-  in.machines.push_back(machine("cold", "b", false));
+  in.machines.push_back(machine("warm", 0, true));
+  in.machines.push_back(machine("cold", 1, false));
   auto plan = makePlan(in);
   EXPECT_EQ(plan.placements.size(), 2U);
   EXPECT_EQ(plan.unplaced[0], 0U);
@@ -57,12 +68,10 @@
 
 TEST(Planner, LessImportantWorkGoesFromAMachineThatHasTheImage) {
   auto in = inputWith(spec("j-000001", JobKind::service, Priority::production, 1));
-  in.machines.push_back(machine("warm", "a", true));
-  in.machines.push_back(machine("cold", "b", false));
+  in.machines.push_back(machine("warm", 0, true));
+  in.machines.push_back(machine("cold", 1, false));
   auto low = spec("j-000002", JobKind::array, Priority::low, 2);
-  for (std::uint32_t i = 0; i < 2; ++i) {
-    in.machines[0].tasks.push_back({{{low->id, i}, Attempt{1}}, low, false, Duration{2000}});
-  }
+  fill(in.machines[0], low);
   auto plan = makePlan(in);
   EXPECT_TRUE(plan.placements.empty());
   ASSERT_EQ(plan.stops.size(), 1U);
@@ -72,11 +81,9 @@
 
 TEST(Planner, EqualsAreNotStopped) {
   auto in = inputWith(spec("j-000001", JobKind::service, Priority::low, 1));
-  in.machines.push_back(machine("only", "a", true));
+  in.machines.push_back(machine("only", 0, true));
   auto low = spec("j-000002", JobKind::array, Priority::low, 2);
-  for (std::uint32_t i = 0; i < 2; ++i) {
-    in.machines[0].tasks.push_back({{{low->id, i}, Attempt{1}}, low, false, Duration{2000}});
-  }
+  fill(in.machines[0], low);
   auto plan = makePlan(in);
   EXPECT_TRUE(plan.placements.empty());
   EXPECT_TRUE(plan.stops.empty());
@@ -85,10 +92,41 @@
 
 TEST(Planner, AGangThatDoesNotFitWholeIsNotPlaced) {
   auto in = inputWith(spec("j-000001", JobKind::gang, Priority::low, 5));
-  in.machines.push_back(machine("one", "a", true));
-  in.machines.push_back(machine("two", "a", true));
+  in.machines.push_back(machine("one", 0, true));
+  in.machines.push_back(machine("two", 0, true));
   EXPECT_TRUE(makePlan(in).placements.empty());
 }
 
+// At size: what there is no turn for in this plan still takes its room, so that only work that
+// finds none counts as demand for machines.
+TEST(Planner, JobsBeyondTheTurnCountTheRoomThatIsThere) {
+  auto in = inputWith(spec("j-000001", JobKind::array, Priority::low, 2));
+  auto second = inputWith(spec("j-000002", JobKind::array, Priority::low, 3));
+  in.jobs.push_back(second.jobs[0]);
+  in.maxJobs = 1;
+  in.machines.push_back(machine("one", 0, true));
+  in.machines.push_back(machine("two", 1, false));
+  auto plan = makePlan(in);
+  EXPECT_EQ(plan.placements.size(), 2U);
+  EXPECT_TRUE(plan.deferred);
+  EXPECT_EQ(plan.unplaced[0], 0U);
+  EXPECT_EQ(plan.unplaced[1], 1U);
+}
+
+// Found at the grown sites: a zone that is cut off should take as few replicas as possible.
+TEST(Planner, ReplicasThatAreSpreadGoEvenlyOverTheZones) {
+  auto s = std::make_shared<JobSpec>(*spec("j-000001", JobKind::service, Priority::production, 6));
+  s->spread = true;
+  auto in = inputWith(s);
+  for (std::uint32_t i = 0; i < 12; ++i) {
+    in.machines.push_back(machine(("m" + std::to_string(i)).c_str(), i / 4, true));
+  }
+  auto plan = makePlan(in);
+  ASSERT_EQ(plan.placements.size(), 6U);
+  std::vector<int> perZone(3);
+  for (const auto& p : plan.placements) ++perZone[in.machines[p.machine].zone];
+  EXPECT_EQ(perZone, (std::vector<int>{2, 2, 2}));
+}
+
 }  // namespace
 }  // namespace kestrelhoist
--- a/src/store/records.cpp
+++ b/src/store/records.cpp
@@ -1,5 +1,6 @@
 #include "store/records.hpp"
 
+#include <algorithm>
 #include <bit>
 
 namespace kestrelhoist {
@@ -36,7 +37,7 @@
     if (c >= 'a' && c <= 'f') return c - 'a' + 10;
     return -1;
   };
-  if (text.size() % 2 != 0 || text.size() > kPerChunk / 4) return std::nullopt;
+  if (text.size() % 2 != 0 || text.size() > kMost / 4) return std::nullopt;
   TaskBits bits;
   for (std::size_t i = 0; i < text.size(); i += 2) {
     int high = digit(text[i]), low = digit(text[i + 1]);
@@ -59,22 +60,64 @@
 }
 }  // namespace
 
+std::uint32_t stretchFor(std::size_t valueBytes) {
+  constexpr std::size_t kPerTask = 56;  // in text form, alone on a machine
+  constexpr std::size_t kBesides = 512;
+  std::size_t fits = valueBytes > kBesides ? (valueBytes - kBesides) / kPerTask : 0;
+  return static_cast<std::uint32_t>(std::clamp<std::size_t>(fits, 8, TaskBits::kMost));
+}
+
+std::size_t TasksRecord::bytes() const {
+  std::size_t n = 64 + TaskBits::kMost / 4;
+  if (!placed.empty()) n = 64 + (placed.rbegin()->first % TaskBits::kMost) / 4;
+  const Placed* row = nullptr;
+  for (const auto& [index, p] : placed) {
+    n += 14;  // a run of its own at worst
+    if (!row || *row != p) n += p.machine.value.size() + 32;
+    row = &p;
+  }
+  return n;
+}
+
 Json toJson(const JobRecord& r) {
-  return {{"spec", jobSpecToJson(*r.spec)}, {"phase", phaseWord(r.phase)}, {"at", r.acceptedAtMs}};
+  return {{"spec", jobSpecToJson(*r.spec)},
+          {"phase", phaseWord(r.phase)},
+          {"at", r.acceptedAtMs},
+          {"stretch", r.stretch}};
 }
 
-Json toJson(const MachineRecord& r) {
-  Json tasks = Json::array();
-  for (const auto& t : r.tasks) {
-    tasks.push_back({t.task.job.value, t.task.index, t.attempt.value});
+// A row for each machine, session and attempt: then first and length of each run of tasks.
+Json toJson(const TasksRecord& r) {
+  Json rows = Json::array();
+  std::map<Placed, std::size_t> at;
+  for (const auto& [index, p] : r.placed) {
+    auto [row, isNew] = at.try_emplace(p, rows.size());
+    if (isNew) rows.push_back({p.machine.value, p.tenure.value, p.attempt.value});
+    Json& runs = rows[row->second];
+    auto n = runs.size();
+    if (n > 3 && runs[n - 2].get<std::uint32_t>() + runs[n - 1].get<std::uint32_t>() == index) {
+      runs[n - 1] = runs[n - 1].get<std::uint32_t>() + 1;
+    } else {
+      runs.push_back(index);
+      runs.push_back(1U);
+    }
   }
-  return {{"type", r.type.value},      {"zone", r.zone.value},     {"spot", r.spot},
-          {"address", r.address},      {"tenure", r.tenure.value}, {"leaving", r.leaving},
-          {"rented_at", r.rentedAtMs}, {"tasks", std::move(tasks)}};
+  return {{"done", r.finished.toHex()}, {"on", std::move(rows)}};
 }
 
-Json toJson(const HireRecord& r) {
-  return {{"type", r.type.value}, {"zone", r.zone.value}, {"spot", r.spot}, {"count", r.count}};
+Json toJson(const RentalRecord& r) {
+  Json v = {{"type", r.type.value},
+            {"zone", r.zone.value},
+            {"spot", r.spot},
+            {"count", r.count},
+            {"at", r.atMs}};
+  if (r.answered) {
+    Json machines = Json::array(), leaving = Json::array();
+    for (const auto& m : r.machines) (m.leaving ? leaving : machines).push_back(m.id.value);
+    v["machines"] = std::move(machines);
+    v["leaving"] = std::move(leaving);
+  }
+  return v;
 }
 
 Json toJson(const LeaderRecord& r) { return {{"member", r.member.value}, {"boot", r.boot}}; }
@@ -91,41 +134,65 @@
             : *phase == "cancelled" ? JobPhase::cancelled
                                     : JobPhase::active;
   r.acceptedAtMs = static_cast<std::int64_t>(countField(v, "at").value_or(0));
+  auto stretch = countField(v, "stretch");
+  if (!stretch || *stretch < 1 || *stretch > TaskBits::kMost) return std::nullopt;
+  r.stretch = static_cast<std::uint32_t>(*stretch);
   return r;
 }
 
-std::optional<MachineRecord> machineRecordFrom(const Json& v) {
-  auto type = textField(v, "type");
-  auto zone = textField(v, "zone");
-  auto spot = boolField(v, "spot");
-  const Json* tasks = field(v, "tasks");
-  if (!type || !zone || !spot || !tasks || !tasks->is_array()) return std::nullopt;
-  MachineRecord r;
-  r.type = TypeId{*type};
-  r.zone = ZoneId{*zone};
-  r.spot = *spot;
-  r.address = textField(v, "address").value_or("");
-  r.tenure = Tenure{countField(v, "tenure").value_or(0)};
-  r.leaving = boolField(v, "leaving").value_or(false);
-  r.rentedAtMs = static_cast<std::int64_t>(countField(v, "rented_at").value_or(0));
-  for (const auto& t : *tasks) {
-    if (!t.is_array() || t.size() != 3 || !t[0].is_string() || !t[1].is_number_unsigned() ||
-        !t[2].is_number_unsigned()) {
+std::optional<TasksRecord> tasksRecordFrom(const Json& v) {
+  auto done = textField(v, "done");
+  auto bits = done ? TaskBits::fromHex(*done) : std::nullopt;
+  const Json* rows = field(v, "on");
+  if (!bits || !rows || !rows->is_array()) return std::nullopt;
+  TasksRecord r;
+  r.finished = std::move(*bits);
+  for (const auto& row : *rows) {
+    if (!row.is_array() || row.size() < 3 || row.size() % 2 == 0 || !row[0].is_string()) {
       return std::nullopt;
     }
-    r.tasks.push_back({{JobId{t[0].get<std::string>()}, t[1].get<std::uint32_t>()},
-                       Attempt{t[2].get<std::uint64_t>()}});
+    for (std::size_t i = 1; i < row.size(); ++i) {
+      if (!row[i].is_number_unsigned()) return std::nullopt;
+    }
+    Placed p{MachineId{row[0].get<std::string>()}, Tenure{row[1].get<std::uint64_t>()},
+             Attempt{row[2].get<std::uint64_t>()}};
+    for (std::size_t i = 3; i + 1 < row.size(); i += 2) {
+      auto first = row[i].get<std::uint64_t>();
+      auto count = row[i + 1].get<std::uint64_t>();
+      if (first >= kMaxTasks || count > kMaxTasks) return std::nullopt;
+      for (std::uint64_t n = 0; n < count; ++n) {
+        r.placed.insert_or_assign(static_cast<std::uint32_t>(first + n), p);
+      }
+    }
   }
   return r;
 }
 
-std::optional<HireRecord> hireRecordFrom(const HireId& id, const Json& v) {
+std::optional<RentalRecord> rentalRecordFrom(const RentalId& id, const Json& v) {
   auto type = textField(v, "type");
   auto zone = textField(v, "zone");
   auto spot = boolField(v, "spot");
   auto count = countField(v, "count");
   if (!type || !zone || !spot || !count) return std::nullopt;
-  return HireRecord{id, TypeId{*type}, ZoneId{*zone}, *spot, static_cast<std::uint32_t>(*count)};
+  RentalRecord r{id,
+                 TypeId{*type},
+                 ZoneId{*zone},
+                 *spot,
+                 static_cast<std::uint32_t>(*count),
+                 static_cast<std::int64_t>(countField(v, "at").value_or(0)),
+                 false,
+                 {}};
+  for (const char* name : {"machines", "leaving"}) {
+    const Json* list = field(v, name);
+    if (!list) continue;
+    if (!list->is_array()) return std::nullopt;
+    r.answered = true;
+    for (const auto& m : *list) {
+      if (!m.is_string()) return std::nullopt;
+      r.machines.push_back({MachineId{m.get<std::string>()}, name[0] == 'l'});
+    }
+  }
+  return r;
 }
 
 std::optional<LeaderRecord> leaderRecordFrom(const Json& v) {
--- a/src/store/records.hpp
+++ b/src/store/records.hpp
@@ -1,6 +1,7 @@
 // The records kept in the state service: their keys and values.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -18,21 +19,19 @@
 inline const std::string kCatalogue = "kh/catalogue";
 inline const std::string kForecast = "kh/forecast";
 inline const std::string kJob = "kh/job/";
-inline const std::string kProgress = "kh/progress/";
-inline const std::string kMachine = "kh/machine/";
-inline const std::string kHire = "kh/hire/";
+inline const std::string kTasks = "kh/tasks/";
+inline const std::string kRental = "kh/rental/";
 inline std::string job(const JobId& id) { return kJob + id.value; }
-inline std::string progress(const JobId& id, std::uint32_t chunk) {
-  return kProgress + id.value + "/" + std::to_string(chunk);
+inline std::string tasks(const JobId& id, std::uint32_t stretch) {
+  return kTasks + id.value + "/" + std::to_string(stretch);
 }
-inline std::string machine(const MachineId& id) { return kMachine + id.value; }
-inline std::string hire(const HireId& id) { return kHire + id.value; }
+inline std::string rental(const RentalId& id) { return kRental + id.value; }
 }  // namespace keys
 
-// Finished tasks of one stretch of an array, a bit each; written as hex digits.
+// Finished tasks of one stretch of a job, a bit each; written as hex digits.
 class TaskBits {
  public:
-  static constexpr std::uint32_t kPerChunk = 4096;
+  static constexpr std::uint32_t kMost = 4096;
   void set(std::uint32_t offset);
   bool test(std::uint32_t offset) const;
   std::uint32_t count() const;
@@ -47,26 +46,45 @@
   std::shared_ptr<const JobSpec> spec;
   JobPhase phase = JobPhase::active;
   std::int64_t acceptedAtMs{};  // time of day, to order and to judge deadlines only
+  std::uint32_t stretch{};      // how many of its tasks share one TasksRecord
 };
 
-struct MachineRecord {
-  TypeId type;
-  ZoneId zone;
-  bool spot{};
-  std::string address;
-  Tenure tenure;   // of the placements; 0: none yet
-  bool leaving{};  // its release was or will be asked for: never gets work again
-  std::int64_t rentedAtMs{};
-  std::vector<AttemptId> tasks;
+// Where a task may be.
+struct Placed {
+  MachineId machine;
+  Tenure tenure;  // the worker's session that it was placed in
+  Attempt attempt;
+  auto operator<=>(const Placed&) const = default;
 };
 
-// Intent to rent, written before the request is sent.
-struct HireRecord {
-  HireId id;
+// One stretch of a job's tasks: which are finished, and which may be on machines. A change of
+// many tasks of a job, on any number of machines, is one write.
+struct TasksRecord {
+  TaskBits finished;
+  std::map<std::uint32_t, Placed> placed;  // by the task's number
+
+  // Of the value in text form, an upper bound: what the limits of the state service count.
+  std::size_t bytes() const;
+};
+
+// How many tasks a stretch may have, so that each of them on a machine of its own still fits.
+std::uint32_t stretchFor(std::size_t valueBytes);
+
+// A rental: written before it is asked for, then the machines that it brought, until the last of
+// them is gone. Machines that nobody expected are adopted as a rental of their own.
+struct RentalRecord {
+  struct Member {
+    MachineId id;
+    bool leaving{};  // its release was or will be asked for: never gets work again
+  };
+  RentalId id;
   TypeId type;
   ZoneId zone;
   bool spot{};
   std::uint32_t count{};
+  std::int64_t atMs{};  // time of day
+  bool answered{};      // `machines` holds what came of it
+  std::vector<Member> machines;
 };
 
 struct LeaderRecord {
@@ -75,12 +93,12 @@
 };
 
 Json toJson(const JobRecord& r);
-Json toJson(const MachineRecord& r);
-Json toJson(const HireRecord& r);
+Json toJson(const TasksRecord& r);
+Json toJson(const RentalRecord& r);
 Json toJson(const LeaderRecord& r);
 std::optional<JobRecord> jobRecordFrom(const JobId& id, const Json& v);
-std::optional<MachineRecord> machineRecordFrom(const Json& v);
-std::optional<HireRecord> hireRecordFrom(const HireId& id, const Json& v);
+std::optional<TasksRecord> tasksRecordFrom(const Json& v);
+std::optional<RentalRecord> rentalRecordFrom(const RentalId& id, const Json& v);
 std::optional<LeaderRecord> leaderRecordFrom(const Json& v);
 
 }  // namespace kestrelhoist
--- a/src/store/replica.cpp
+++ b/src/store/replica.cpp
@@ -1,5 +1,6 @@
 #include "store/replica.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 #include "base/log.hpp"
@@ -7,8 +8,16 @@
 namespace kestrelhoist {
 
 bool JobState::isFinished(std::uint32_t index) const {
-  auto it = finished.find(index / TaskBits::kPerChunk);
-  return it != finished.end() && it->second.test(index % TaskBits::kPerChunk);
+  if (record.stretch == 0) return false;
+  auto it = finished.find(index / record.stretch);
+  return it != finished.end() && it->second.test(index % record.stretch);
+}
+
+const TaskOn* MachineState::find(const AttemptId& id) const {
+  for (const auto& t : tasks) {
+    if (t.id == id) return &t;
+  }
+  return nullptr;
 }
 
 const JobState* Replica::job(const JobId& id) const {
@@ -16,7 +25,7 @@
   return it == jobs_.end() ? nullptr : &it->second;
 }
 
-const MachineRecord* Replica::machine(const MachineId& id) const {
+const MachineState* Replica::machine(const MachineId& id) const {
   auto it = machines_.find(id);
   return it == machines_.end() ? nullptr : &it->second;
 }
@@ -48,18 +57,10 @@
   auto rest = [&](const std::string& prefix) { return c.key.substr(prefix.size()); };
   if (c.key.starts_with(keys::kJob)) {
     setJob(JobId{rest(keys::kJob)}, value, c.stamp);
-  } else if (c.key.starts_with(keys::kProgress)) {
-    setProgress(rest(keys::kProgress), value);
-  } else if (c.key.starts_with(keys::kMachine)) {
-    setMachine(MachineId{rest(keys::kMachine)}, value);
-  } else if (c.key.starts_with(keys::kHire)) {
-    HireId id{rest(keys::kHire)};
-    auto record = value ? hireRecordFrom(id, *value) : std::nullopt;
-    if (record) {
-      hires_.insert_or_assign(id, *record);
-    } else {
-      hires_.erase(id);
-    }
+  } else if (c.key.starts_with(keys::kTasks)) {
+    setTasks(rest(keys::kTasks), value);
+  } else if (c.key.starts_with(keys::kRental)) {
+    setRental(RentalId{rest(keys::kRental)}, value);
   } else if (c.key == keys::kLeader) {
     leader_ = value ? leaderRecordFrom(*value) : std::nullopt;
   } else if (c.key == keys::kCatalogue) {
@@ -79,58 +80,122 @@
   JobState& job = jobs_[id];
   job.stamp = stamp;
   job.tasks = record->spec->tasks;
+  job.image = images_.of(record->spec->image);
+  job.team = teams_.of(record->spec->team);
   job.record = std::move(*record);
   settle(job, id);
 }
 
-void Replica::setProgress(const std::string& rest, const Json* value) {
+TasksRecord Replica::stretchOf(const JobState& job, std::uint32_t stretch) const {
+  TasksRecord r;
+  if (auto bits = job.finished.find(stretch); bits != job.finished.end()) {
+    r.finished = bits->second;
+  }
+  auto first = job.placed.lower_bound(stretch * job.record.stretch);
+  auto last = job.placed.lower_bound((stretch + 1) * job.record.stretch);
+  r.placed.insert(first, last);
+  return r;
+}
+
+void Replica::put(const JobId& id, JobState& job, std::uint32_t index, const Placed& placed) {
+  job.placed.insert_or_assign(index, placed);
+  auto [it, isNew] = machines_.try_emplace(placed.machine);
+  // On no rental (yet): nobody can tell where it is, so it gets no work.
+  if (isNew) it->second.leaving = true;
+  it->second.tasks.push_back({{{id, index}, placed.attempt}, placed.tenure, &job});
+}
+
+void Replica::takeOff(const JobId& id, std::uint32_t index, const Placed& placed) {
+  auto it = machines_.find(placed.machine);
+  if (it == machines_.end()) return;
+  AttemptId attempt{{id, index}, placed.attempt};
+  std::erase_if(it->second.tasks, [&](const TaskOn& t) { return t.id == attempt; });
+  forget(it);
+}
+
+// Machines that are on no rental and have no task on record.
+void Replica::forget(std::map<MachineId, MachineState>::iterator it) {
+  if (it->second.rental.empty() && it->second.tasks.empty()) machines_.erase(it);
+}
+
+void Replica::setTasks(const std::string& rest, const Json* value) {
   auto slash = rest.find('/');
-  std::uint32_t chunk = 0;
-  if (slash == std::string::npos || !value || !value->is_string() ||
-      std::from_chars(rest.data() + slash + 1, rest.data() + rest.size(), chunk).ec !=
+  std::uint32_t stretch = 0;
+  if (slash == std::string::npos ||
+      std::from_chars(rest.data() + slash + 1, rest.data() + rest.size(), stretch).ec !=
           std::errc{}) {
     return;
   }
-  auto bits = TaskBits::fromHex(value->get_ref<const std::string&>());
-  if (!bits) return;
+  auto record = value ? tasksRecordFrom(*value) : std::optional(TasksRecord{});
   JobId id{rest.substr(0, slash)};
-  JobState& job = jobs_[id];
-  TaskBits& old = job.finished[chunk];
-  job.finishedCount += bits->count() - old.count();
-  old = std::move(*bits);
-  if (job.record.spec) settle(job, id);
+  if (!record) {
+    spdlog::error("tasks {}: their record can't be read", rest);
+    return;
+  }
+  auto it = jobs_.find(id);
+  // A job's record is written, and read, before those of its tasks.
+  if (it == jobs_.end() || it->second.record.stretch == 0) {
+    spdlog::error("tasks {}: no such job", rest);
+    return;
+  }
+  JobState& job = it->second;
+  auto first = job.placed.lower_bound(stretch * job.record.stretch);
+  auto last = job.placed.lower_bound((stretch + 1) * job.record.stretch);
+  std::map<std::uint32_t, Placed> old(first, last);
+  for (const auto& [index, placed] : old) {
+    auto now = record->placed.find(index);
+    if (now != record->placed.end() && now->second == placed) continue;
+    job.placed.erase(index);
+    takeOff(id, index, placed);
+  }
+  for (const auto& [index, placed] : record->placed) {
+    auto was = old.find(index);
+    if (was == old.end() || was->second != placed) put(id, job, index, placed);
+  }
+  if (value) {
+    TaskBits& bits = job.finished[stretch];
+    job.finishedCount += record->finished.count() - bits.count();
+    bits = std::move(record->finished);
+  }
+  settle(job, id);
 }
 
-void Replica::setMachine(const MachineId& id, const Json* value) {
-  auto record = value ? machineRecordFrom(*value) : std::nullopt;
+void Replica::setRental(const RentalId& id, const Json* value) {
+  auto record = value ? rentalRecordFrom(id, *value) : std::nullopt;
   if (value && !record) {
-    spdlog::error("machine {}: its record can't be read", id.value);
+    spdlog::error("rental {}: its record can't be read", id.value);
     return;
   }
-  auto unplace = [&](const MachineRecord& r) {
-    for (const auto& t : r.tasks) {
-      auto& placed = jobs_[t.task.job].placed;
-      auto it = placed.find(t.task.index);
-      if (it != placed.end() && it->second == Placed{id, t.attempt}) placed.erase(it);
-    }
-  };
-  std::vector<JobId> touched;
-  if (auto it = machines_.find(id); it != machines_.end()) {
-    unplace(it->second);
-    for (const auto& t : it->second.tasks) touched.push_back(t.task.job);
+  std::vector<MachineId> before;
+  if (auto it = rentals_.find(id); it != rentals_.end()) {
+    for (const auto& m : it->second.machines) before.push_back(m.id);
   }
   if (record) {
-    for (const auto& t : record->tasks) {
-      jobs_[t.task.job].placed[t.task.index] = Placed{id, t.attempt};
-      touched.push_back(t.task.job);
+    for (const auto& m : record->machines) {
+      MachineState& state = machines_[m.id];
+      state.rental = id;
+      state.type = record->type;
+      state.zone = record->zone;
+      state.spot = record->spot;
+      state.rentedAtMs = record->atMs;
+      state.leaving = m.leaving;
     }
-    machines_.insert_or_assign(id, std::move(*record));
-  } else {
-    machines_.erase(id);
   }
-  for (const auto& j : touched) {
-    auto& job = jobs_[j];
-    if (job.record.spec) settle(job, j);
+  for (const auto& m : before) {
+    if (record && std::any_of(record->machines.begin(), record->machines.end(),
+                              [&](const auto& r) { return r.id == m; })) {
+      continue;
+    }
+    auto it = machines_.find(m);
+    if (it == machines_.end() || it->second.rental != id) continue;
+    it->second.rental = RentalId{};
+    it->second.leaving = true;
+    forget(it);
+  }
+  if (record) {
+    rentals_.insert_or_assign(id, std::move(*record));
+  } else {
+    rentals_.erase(id);
   }
 }
 
--- a/src/store/replica.hpp
+++ b/src/store/replica.hpp
@@ -5,23 +5,19 @@
 #include <map>
 #include <unordered_map>
 
+#include "base/interned.hpp"
 #include "store/client.hpp"
 #include "store/records.hpp"
 
 namespace kestrelhoist {
 
-// Where a task is placed.
-struct Placed {
-  MachineId machine;
-  Attempt attempt;
-  auto operator<=>(const Placed&) const = default;
-};
-
 struct JobState {
   JobRecord record;  // spec stays until the job is over and off every machine
   Revision stamp;
   std::uint32_t tasks{};
-  std::map<std::uint32_t, TaskBits> finished;  // by chunk
+  std::uint32_t image{};  // numbers of its image and team, see Replica
+  std::uint32_t team{};
+  std::map<std::uint32_t, TaskBits> finished;  // by stretch
   std::uint32_t finishedCount{};
   std::map<std::uint32_t, Placed> placed;  // by task
 
@@ -29,6 +25,26 @@
   bool isFinished(std::uint32_t index) const;
 };
 
+// A task that may be on a machine. The job stays where it is for as long as the copy does.
+struct TaskOn {
+  AttemptId id;
+  Tenure tenure;
+  const JobState* job{};
+};
+
+// What is on record of a machine: by its rental, and by its tasks.
+struct MachineState {
+  RentalId rental;
+  TypeId type;
+  ZoneId zone;
+  bool spot{};
+  bool leaving{};  // its release was or will be asked for: never gets work again
+  std::int64_t rentedAtMs{};
+  std::vector<TaskOn> tasks;
+
+  const TaskOn* find(const AttemptId& id) const;
+};
+
 class Replica {
  public:
   // Applies one change unless something as new is already here.
@@ -42,29 +58,38 @@
 
   const std::map<JobId, JobState>& jobs() const { return jobs_; }
   const JobState* job(const JobId& id) const;
-  const std::map<MachineId, MachineRecord>& machines() const { return machines_; }
-  const MachineRecord* machine(const MachineId& id) const;
-  const std::map<HireId, HireRecord>& hires() const { return hires_; }
+  const std::map<MachineId, MachineState>& machines() const { return machines_; }
+  const MachineState* machine(const MachineId& id) const;
+  const std::map<RentalId, RentalRecord>& rentals() const { return rentals_; }
+  // One stretch of a job, put together from what is known of it.
+  TasksRecord stretchOf(const JobState& job, std::uint32_t stretch) const;
   const std::optional<LeaderRecord>& leader() const { return leader_; }
   Token leaderToken() const { return Token{stampOf(keys::kLeader).value}; }
   const std::optional<Json>& catalogue() const { return catalogue_; }
   const std::optional<Json>& forecast() const { return forecast_; }
+  std::size_t teams() const { return teams_.size(); }
+  std::uint32_t teamNumber(const TeamId& id) { return teams_.of(id); }
   // Jobs that are active or still on a machine.
   const std::map<JobId, JobState*>& live() const { return live_; }
 
  private:
   void setJob(const JobId& id, const Json* value, Revision stamp);
-  void setProgress(const std::string& rest, const Json* value);
-  void setMachine(const MachineId& id, const Json* value);
+  void setTasks(const std::string& rest, const Json* value);
+  void setRental(const RentalId& id, const Json* value);
+  void put(const JobId& id, JobState& job, std::uint32_t index, const Placed& placed);
+  void takeOff(const JobId& id, std::uint32_t index, const Placed& placed);
+  void forget(std::map<MachineId, MachineState>::iterator machine);
   void settle(JobState& job, const JobId& id);
 
+  Interned<ImageId> images_;
+  Interned<TeamId> teams_;
   Revision cursor_;
   std::unordered_map<std::string, Revision> stamps_;
   std::unordered_map<std::string, Revision> drops_;  // newer than the cursor
   std::map<JobId, JobState> jobs_;
   std::map<JobId, JobState*> live_;
-  std::map<MachineId, MachineRecord> machines_;
-  std::map<HireId, HireRecord> hires_;
+  std::map<MachineId, MachineState> machines_;
+  std::map<RentalId, RentalRecord> rentals_;
   std::optional<LeaderRecord> leader_;
   std::optional<Json> catalogue_;
   std::optional<Json> forecast_;
