--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -22,8 +22,11 @@
 // Points of a machine's score; a full machine is worth 10 more than an empty one.
 constexpr double kPerSecondOfFetch = 3.0;
 constexpr double kSpot = 30.0;
-constexpr double kSiblingHere = 200.0;
-constexpr double kSiblingInZone = 20.0;
+// Where a replica costs as much, the machine and the zone with fewer of its siblings. Not more: a
+// machine that is lost takes as many replicas with it whoever they belong to, and replicas spread
+// over more machines than they fill leave half-empty machines to pay for.
+constexpr double kSiblingHere = 2.0;
+constexpr double kSiblingInZone = 2.0;
 
 // A machine with its score (higher is better) or the cost of making room there (negated).
 struct Choice {
@@ -280,11 +283,10 @@
   }
 
   // Whether stopping something there helps a task whose image is missing where there is room. Not
-  // where there is room already: bestFree() preferred another machine, say for a replica on the
-  // same one, and room that is only set aside would keep the task waiting.
+  // where there is room already: bestFree() preferred another machine, and room that is only set
+  // aside would keep the task waiting.
   bool worthWarming(std::size_t m) const {
-    return holds(m) && !spec_->perTask.fitsIn(state_.free[m]) &&
-           !(spec_->kind == JobKind::service && siblings_.contains(m));
+    return holds(m) && !spec_->perTask.fitsIn(state_.free[m]);
   }
 
   // What making room there costs, about in seconds, and who must go.
@@ -294,7 +296,6 @@
     if (!allowed(m) || (warm && !worthWarming(m))) return std::nullopt;
     Room room = state_.soon[m];
     double cost = holds(m) ? 0 : 20 + fetchS(m);
-    if (spec_->kind == JobKind::service && siblings_.contains(m)) cost += 1000;
     if (!spec_->perTask.fitsIn(room)) {
       bool guaranteed = withinGuarantee();
       std::vector<const PlanTask*> candidates;
