--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -12,6 +12,7 @@
 constexpr Duration kMeshEvery{500};
 constexpr Duration kMeshHeard{2000};
 constexpr Duration kStoreSilent{2000};
+constexpr Duration kStandInAfter{1500};
 constexpr Duration kForwardTimeout{1800};
 constexpr Duration kLeaseLife{3000};
 constexpr Duration kLeaseRenew{700};
@@ -66,6 +67,7 @@
 }
 
 void Controller::onRecordsChanged() {
+  lastToken_ = std::max(lastToken_, replica_.leaderToken());
   if (leader_) leader_->onRecordsChanged();
   runElection();
 }
@@ -145,6 +147,7 @@
 
 void Controller::leaveOffice(const std::string& why, bool dropLease, Duration holdBack) {
   spdlog::info("no longer leading (token {}): {}", election_.token().value, why);
+  lastToken_ = std::max(lastToken_, election_.token());
   auto lease = election_.lease();
   if (dropLease && lease) store_.dropLease(*lease);
   election_.stepDown(runtime_.now() + holdBack);
@@ -156,13 +159,6 @@
   }
 }
 
-// How long reports may be answered with no contact to the state service: a cancellation that
-// this node can't know of must still take its tasks off within `cancel_s`.
-Duration Controller::trustBound() const {
-  auto bound = (platform_.cancelWithin - platform_.workerLease) * 999 / 1000 - Duration{3000};
-  return std::max(bound, Duration{0});
-}
-
 void Controller::watchOffice() {
   if (!election_.leads()) return;
   Instant now = runtime_.now();
@@ -172,7 +168,7 @@
     }
   }
   Duration silent = feed_.contactAge();
-  if (feed_.loaded() && silent > trustBound()) {
+  if (feed_.loaded() && silent > platform_.trustBound()) {
     return leaveOffice("no contact with the state service for too long", false, Duration{1000});
   }
   if (feed_.loaded() && silent > kStoreSilent && mesh_.peerWithStore(feed_.failingSince())) {
@@ -231,13 +227,33 @@
   return jsonResponse(421, body);
 }
 
+// A zone that is cut off goes on working inside. When neither the state service nor the leader can
+// be heard here, this node answers workers in the leader's stead, under the token that they and it
+// know: it orders nothing and proves nothing, but their leases go on. The same bound holds as for
+// a leader without contact, since a cancellation might be unknown here.
+bool Controller::standsIn(const Report& report) const {
+  Duration silent = feed_.contactAge();
+  if (!feed_.loaded() || silent < kStandInAfter || silent > platform_.trustBound()) return false;
+  if (lastToken_ == Token{} || report.token != lastToken_) return false;
+  for (const auto& peer : platform_.peers) {
+    const auto* seen = mesh_.heard(peer.member, kMeshHeard);
+    // Whoever hears the leader or the state service sends workers to where orders come from.
+    if (seen && (seen->leading || seen->storeAge < kStandInAfter || seen->token > lastToken_)) {
+      return false;
+    }
+  }
+  return true;
+}
+
 Response Controller::onBeat(const Request& request) {
   auto body = decodeBody(request.body);
   auto report = body ? reportFrom(*body) : std::nullopt;
   if (!report) return jsonResponse(400, {{"error", "not a report"}});
   lastWorker_ = runtime_.now();
-  if (!leader_ || !election_.leads()) return notHere();
-  if (feed_.contactAge() > trustBound()) {
+  if (!leader_ || !election_.leads()) {
+    return standsIn(*report) ? jsonResponse(200, ordersToJson(lastToken_, {})) : notHere();
+  }
+  if (feed_.contactAge() > platform_.trustBound()) {
     // A node that hung finds reports waiting before its timers: the bound holds for each answer.
     leaveOffice("no contact with the state service for too long", false, Duration{1000});
     return notHere();
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -35,10 +35,10 @@
   void watchOffice();
   void onRecordsChanged();
   Response onBeat(const Request& request);
+  bool standsIn(const Report& report) const;
   Response ready();
   Response notHere() const;
   Sighting sighting() const;
-  Duration trustBound() const;
   // How many machines this leadership has heard.
   std::size_t heardMachines() const;
 
@@ -56,6 +56,7 @@
   Election election_;
   std::unique_ptr<Leader> leader_;
   bool takingOffice_ = false;
+  Token lastToken_;  // of the newest leader known of
   Instant lastWorker_{};
   Instant started_{};
   std::optional<Instant> leaderMissingSince_;
--- a/src/app/leader_machines.cpp
+++ b/src/app/leader_machines.cpp
@@ -187,6 +187,11 @@
       in.scarce.insert(offer);
       if (now - at < kRefusedPause) in.refused.insert(offer);
     }
+    // What is rented into a zone that is cut off can't be reached either.
+    for (const auto& zone : fleet_.silentZones()) {
+      in.refused.insert({type.id, zone, false});
+      in.refused.insert({type.id, zone, true});
+    }
     for (const auto& [id, rental] : s_.replica.rentals()) {
       if (rental.answered) continue;
       auto result = rentalResults_.find(id);
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -203,19 +203,27 @@
 
 void Fleet::judge(Instant now, const Catalogue* catalogue) {
   catalogue_ = catalogue;
-  std::map<ZoneId, std::pair<int, int>> zones;  // machines that report, machines that do not
+  struct Count {
+    int onTime = 0, overdue = 0;
+  };
+  std::map<ZoneId, Count> zones;
   int reporting = 0;
+  const Duration due = platform_.reportEvery * 5 / 4 + Duration{1000};
   for (const auto& [id, m] : machines_) {
     if (!m.heard()) {
       const auto* record = replica_.machine(id);
       if (!record || record->tasks.empty()) continue;
     }
+    // A new leader is not known to the workers yet.
     Instant last = m.heard() ? m.memory.lastHeard : since_ + silentAfter() / 2;
-    if (now - last <= silentAfter()) {
-      ++zones[m.zone].first;
-      ++reporting;
-    } else {
-      ++zones[m.zone].second;
+    ++(now - last <= due ? zones[m.zone].onTime : zones[m.zone].overdue);
+    if (now - last <= silentAfter()) ++reporting;
+  }
+  silentZones_.clear();
+  for (const auto& [zone, count] : zones) {
+    if (count.overdue > 1 && count.overdue > count.onTime) {
+      silentZones_.insert(zone);
+      zoneSilentAt_[zone] = now;
     }
   }
   unexpected_.clear();
@@ -257,12 +265,18 @@
       }
       continue;
     }
-    // Dead or out of reach. While others of its zone report it is most likely dead; when a whole
-    // zone is silent, wait until its workers have lost their leases anyway.
-    bool zoneSilent = zones[m.zone].first == 0 && zones[m.zone].second > 1;
+    // Dead or out of reach. While others of its zone report it is most likely dead. A zone that is
+    // silent is most likely cut off and goes on working inside: its tasks run for as long as their
+    // leases, which a controller there can keep up until the bound for unknown cancellations.
     Duration patience = silentAfter();
-    if (zoneSilent || reporting == 0)
-      patience = std::max(patience, platform_.workerLease) + 2 * platform_.reportEvery;
+    if (silentZones_.contains(m.zone) || reporting == 0) {
+      Duration inside = platform_.workerLease + Duration{1000};
+      if (platform_.hasController(m.zone)) inside += platform_.trustBound();
+      patience = std::max(patience, inside);
+    } else if (auto back = zoneSilentAt_.find(m.zone); back != zoneSilentAt_.end()) {
+      // The zone has just come back: its workers find the leader one after the other.
+      silent = std::min(silent, now - back->second);
+    }
     if (!m.heard()) patience += silentAfter() / 2;
     if (silent > patience) {
       wantRelease(m, "silent for " + std::to_string(silent.count()) + " ms");
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -61,6 +61,8 @@
   std::size_t heardCount() const { return heardCount_; }
   // Machines to be released, until they are.
   const std::set<MachineId>& toRelease() const { return toRelease_; }
+  // Zones from which hardly any machine reports that should.
+  const std::set<ZoneId>& silentZones() const { return silentZones_; }
   // Machines that report although they are on no rental's record, found by judge().
   const std::set<MachineId>& unexpected() const { return unexpected_; }
   void requestStop(const AttemptId& id, const MachineId& machine, Duration grace);
@@ -91,6 +93,8 @@
   std::map<MachineId, Instant> released_;
   std::set<MachineId> toRelease_;
   std::set<MachineId> unexpected_;
+  std::set<ZoneId> silentZones_;
+  std::map<ZoneId, Instant> zoneSilentAt_;  // when last
   std::size_t heardCount_ = 0;
   const Catalogue* catalogue_ = nullptr;
 };
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -154,6 +154,16 @@
     } else if (verb == "cut") {  // cut NODE from GROUP MODE SECONDS
       w.network.cut("node" + std::to_string(w.nodeFrom(words.at(1))), group(words.at(3)),
                     mode(words.at(4)), ms(words.at(5)));
+    } else if (verb == "cutzone") {  // cutzone leader|other MODE SECONDS: from everything outside
+      int node = w.nodeFrom("leader");
+      if (words.at(1) == "other") node = (node + 1) % settings_.nodes;
+      const auto& zones = settings_.zones;
+      const auto& zone = zones[static_cast<std::size_t>(node) % zones.size()];
+      std::set<std::string> inside{"node" + std::to_string(node)};
+      for (const auto& [host, worker] : w.workers) {
+        if (worker->zone == zone) inside.insert(host);
+      }
+      w.network.cutOff(inside, mode(words.at(2)), ms(words.at(3)));
     } else if (verb == "cutmachine") {  // cutmachine WHICH MODE SECONDS
       w.network.cut(busyMachine(words.at(1)), {}, mode(words.at(2)), ms(words.at(3)));
     } else if (verb == "outage") {
--- a/tests/sim/virtual_time.hpp
+++ b/tests/sim/virtual_time.hpp
@@ -57,7 +57,11 @@
   // Cuts host from every host in `others` (all if empty) for `ms`.
   void cut(const std::string& host, const std::set<std::string>& others, CutMode mode,
            std::int64_t ms) {
-    cuts_.push_back({host, others, mode, clock_.now() + ms});
+    cuts_.push_back({host, others, {}, mode, clock_.now() + ms});
+  }
+  // Between these hosts and all others.
+  void cutOff(const std::set<std::string>& inside, CutMode mode, std::int64_t ms) {
+    cuts_.push_back({"", {}, inside, mode, clock_.now() + ms});
   }
   double lossOfAnswers = 0;  // share of requests whose answer is lost
   double lateRequests = 0;   // share that arrives up to two minutes late
@@ -94,6 +98,7 @@
   struct Cut {
     std::string host;
     std::set<std::string> others;
+    std::set<std::string> inside;
     CutMode mode;
     std::int64_t until;
   };
@@ -106,7 +111,7 @@
       auto hits = [&](const std::string& x, const std::string& y) {
         return c.host == x && (c.others.empty() || c.others.contains(y));
       };
-      if (hits(a, b) || hits(b, a)) return &c;
+      if (hits(a, b) || hits(b, a) || c.inside.contains(a) != c.inside.contains(b)) return &c;
     }
     return nullptr;
   }
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -45,7 +45,9 @@
     for (int j = 0; j < settings.nodes; ++j) {
       if (j == i) continue;
       p.peers.push_back(
-          {MemberId{"node" + std::to_string(j)}, ZoneId{"a"}, "node" + std::to_string(j) + ":81"});
+          {MemberId{"node" + std::to_string(j)},
+           ZoneId{settings.zones[static_cast<std::size_t>(j) % settings.zones.size()]},
+           "node" + std::to_string(j) + ":81"});
     }
     p.cloudAddress = "cloud:1";
     p.stateAddress = "state:1";
