--- a/src/app/leader.cpp
+++ b/src/app/leader.cpp
@@ -216,7 +216,7 @@
     p.type = record.type;
     p.zone = zoneNumber(record.zone);
     p.spot = record.spot;
-    p.usable = type && m && fleet_.usable(*m, now);
+    p.usable = type && m && fleet_.usable(*m, now) && !emptying_.contains(id);
     if (type) {
       p.room = type->room;
       p.fetchGbPerS = type->fetchGbPerS;
--- a/src/app/leader.hpp
+++ b/src/app/leader.hpp
@@ -100,6 +100,7 @@
   void decideRenting(bool turn);
   std::map<TypeId, TypeDemand> demandNow();
   void turnWindow();
+  void emptyMachines(const TypeId& type, std::size_t surplus);
   void loadForecasts();
   Json forecastsToJson() const;
 
@@ -132,6 +133,7 @@
   std::map<JobId, std::uint32_t> dueAgain_;  // tasks found gone that must run again
 
   std::map<JobId, std::uint32_t> unplaced_;  // by the last plan
+  std::set<MachineId> emptying_;             // get no more work, to be given back
   std::set<MachineId> releasing_;            // asked, no answer yet
   std::set<MachineId> releaseConfirmed_;     // 200, still on record
 
--- a/src/app/leader_machines.cpp
+++ b/src/app/leader_machines.cpp
@@ -4,6 +4,7 @@
 
 #include "app/leader.hpp"
 #include "base/log.hpp"
+#include "placement/consolidate.hpp"
 
 namespace kestrelhoist {
 namespace {
@@ -172,6 +173,8 @@
   nextRentCheck_ = now + Duration{1000};
   std::erase_if(refused_, [&](const auto& r) { return now - r.second > kScarceMemory; });
   auto demand = demandNow();
+  // Work that finds no room needs the machines that were to be emptied.
+  if (!unplaced_.empty()) emptying_.clear();
   for (const auto& type : catalogue_->types) {
     RentInput in;
     in.type = &type;
@@ -229,6 +232,15 @@
           in.demand.flexibleWaiting, in.demand.flexible.mean, in.demand.flexible.spread,
           out.ordinaryTarget, out.spotTarget, in.machines.size());
     }
+    if (turn && unplaced_.empty()) {
+      int ordinary = static_cast<int>(std::count_if(
+          in.machines.begin(), in.machines.end(),
+          [&](const RentMachine& m) { return !m.offer.spot && !emptying_.contains(m.id); }));
+      int needed = out.ordinaryNeeded + 1;
+      if (ordinary > needed) {
+        emptyMachines(type.id, static_cast<std::size_t>(ordinary - needed));
+      }
+    }
     constexpr std::uint32_t most = 50;  // that the cloud rents at once
     std::size_t have = in.machines.size();
     for (const auto& [offer, n] : in.ordered) have += n;
@@ -291,6 +303,54 @@
   decideRenting(true);
 }
 
+// Moves the replicas of machines that hold few of them to where their images are, so that whole
+// machines fall idle and can be given back.
+void Leader::emptyMachines(const TypeId& type, std::size_t surplus) {
+  constexpr double kMoveShare = 0.02;  // of all replicas, at one turn
+  constexpr std::size_t kMoveAtLeast = 4;
+  Instant now = s_.runtime.now();
+  std::erase_if(emptying_, [&](const MachineId& id) { return !fleet_.find(id); });
+  EmptyInput in;
+  std::map<ZoneId, std::uint32_t> zones;
+  for (const auto& z : s_.platform.zones) zones.try_emplace(z, zones.size());
+  const MachineType* known = catalogue_->find(type);
+  std::size_t replicas = 0;
+  for (const auto& [id, record] : s_.replica.machines()) {
+    const Machine* m = fleet_.find(id);
+    if (record.type != type || record.spot || !m || !fleet_.usable(*m, now)) continue;
+    EmptyCandidate c{id, type, zones[record.zone], known->room, known->room, {}, {}};
+    for (const auto& i : m->images) c.images.push_back({i.id, i.gb, i.held});
+    for (const auto& t : record.tasks) {
+      const auto& spec = t.job->record.spec;
+      if (!spec || m->memory.gone.contains(t.id)) continue;
+      c.free -= spec->perTask;
+      if (spec->kind != JobKind::service) continue;
+      ++replicas;
+      auto& perZone = in.perZone[spec->id];
+      perZone.resize(s_.platform.zones.size() + 1);
+      ++perZone[c.zone];
+      auto seen = m->seenRunning.find(t.id);
+      c.services.push_back(
+          {t.id, spec, t.job->image,
+           seen == m->seenRunning.end() || !t.job->active() ? Duration{0} : now - seen->second});
+    }
+    if (!emptying_.contains(id)) in.machines.push_back(std::move(c));
+  }
+  in.surplus = surplus;
+  in.mostMoves =
+      std::max(kMoveAtLeast, static_cast<std::size_t>(kMoveShare * static_cast<double>(replicas)));
+  auto decision = chooseToEmpty(std::move(in));
+  for (const auto& id : decision.machines) emptying_.insert(id);
+  for (const auto& [machine, task] : decision.moves) {
+    fleet_.requestStop(task, machine, Duration{0});
+    push(machine);
+  }
+  if (!decision.machines.empty()) {
+    spdlog::info("{} machines to be emptied, {} replicas move", decision.machines.size(),
+                 decision.moves.size());
+  }
+}
+
 Json Leader::forecastsToJson() const {
   Json types = Json::object();
   for (const auto& [type, series] : forecasts_) {
--- a/src/cloud/renting.cpp
+++ b/src/cloud/renting.cpp
@@ -103,8 +103,8 @@
       d.firmWaiting +
       (spotOffered ? 0.0 : std::max(0.0, d.flexibleWaiting - (spot.have - spot.inUse)));
   double firm = std::max(d.firm.mean + k * d.firm.spread, d.firmBooked + d.firmWaiting);
-  out.ordinaryTarget =
-      std::max(ceilMachines(firm + overflow), ordinary.inUse + ceilMachines(waitingHere));
+  out.ordinaryNeeded = ceilMachines(firm + overflow);
+  out.ordinaryTarget = std::max(out.ordinaryNeeded, ordinary.inUse + ceilMachines(waitingHere));
 
   if (out.spotTarget > spot.have) rent(in, true, out.spotTarget - spot.have, spot, out);
   if (out.ordinaryTarget > ordinary.have) {
--- a/src/cloud/renting.hpp
+++ b/src/cloud/renting.hpp
@@ -58,6 +58,7 @@
   std::vector<Rental> rentals;
   std::vector<MachineId> giveBack;
   int ordinaryTarget{}, spotTarget{};
+  int ordinaryNeeded{};  // if all work were packed as tightly as it goes
 };
 
 RentDecision decideRent(const RentInput& in);
--- /dev/null
+++ b/src/placement/consolidate.cpp
@@ -0,0 +1,81 @@
+#include "placement/consolidate.hpp"
+
+#include <algorithm>
+#include <numeric>
+
+namespace kestrelhoist {
+namespace {
+
+// A replica that has just come up is left alone: so no two turns move the same one.
+constexpr Duration kSettled{60000};
+
+double serviceShare(const EmptyCandidate& m) {
+  double share = 0;
+  for (const auto& t : m.services) share += t.spec->perTask.shareOf(m.room);
+  return share;
+}
+
+bool holds(const EmptyCandidate& m, std::uint32_t image) {
+  return std::any_of(m.images.begin(), m.images.end(),
+                     [&](const PlanImage& i) { return i.id == image && i.held; });
+}
+
+}  // namespace
+
+EmptyDecision chooseToEmpty(EmptyInput in) {
+  EmptyDecision out;
+  std::vector<std::size_t> order(in.machines.size());
+  std::vector<double> share;
+  for (const auto& m : in.machines) share.push_back(serviceShare(m));
+  std::iota(order.begin(), order.end(), 0);
+  std::stable_sort(order.begin(), order.end(),
+                   [&](std::size_t a, std::size_t b) { return share[a] < share[b]; });
+  std::set<std::size_t> emptied, targets;
+  for (auto from : order) {
+    if (emptied.size() >= in.surplus) break;
+    const EmptyCandidate& source = in.machines[from];
+    if (share[from] == 0 || share[from] > 0.5 || targets.contains(from)) continue;
+    if (out.moves.size() + source.services.size() > in.mostMoves) continue;
+    // All of its replicas, or none.
+    auto perZone = in.perZone;
+    std::vector<std::pair<std::size_t, Room>> booked;
+    bool all = true;
+    for (const auto& t : source.services) {
+      auto& zones = perZone[t.spec->id];
+      std::size_t best = in.machines.size();
+      for (std::size_t to = 0; to < in.machines.size() && t.age >= kSettled; ++to) {
+        const EmptyCandidate& target = in.machines[to];
+        if (to == from || emptied.contains(to) || share[to] == 0 || share[to] < share[from] ||
+            !t.spec->perTask.fitsIn(target.free) || !holds(target, t.image) ||
+            !t.spec->allowsType(target.type) || (t.spec->zone && target.zone != source.zone)) {
+          continue;
+        }
+        if (target.zone != source.zone &&
+            (t.spec->oneZone || (t.spec->spread && zones[target.zone] >= t.spec->zoneLimit()))) {
+          continue;
+        }
+        if (best == in.machines.size() || share[to] > share[best]) best = to;
+      }
+      if (best == in.machines.size()) {
+        all = false;
+        break;
+      }
+      in.machines[best].free -= t.spec->perTask;
+      booked.emplace_back(best, t.spec->perTask);
+      --zones[source.zone];
+      ++zones[in.machines[best].zone];
+    }
+    if (!all) {
+      for (const auto& [m, room] : booked) in.machines[m].free += room;
+      continue;
+    }
+    in.perZone = std::move(perZone);
+    emptied.insert(from);
+    for (const auto& [m, room] : booked) targets.insert(m);
+    out.machines.push_back(source.id);
+    for (const auto& t : source.services) out.moves.emplace_back(source.id, t.id);
+  }
+  return out;
+}
+
+}  // namespace kestrelhoist
