Round: a new leader asks for the report round, overdue machines are asked directly

Cause: at reports every 8 s a new leader placed nothing for 10.5 s, a dead machine was found after 22 s. Now machines on the cloud's list are asked with an empty command, and the round is over when each has reported or was asked in vain; an overdue machine that does not answer twice is given up.

--- a/src/app/leader.cpp
+++ b/src/app/leader.cpp
@@ -12,6 +12,7 @@
 constexpr int kPlanShare = 4;              // and this many times what the last one took
 constexpr double kLeaderWriteShare = 0.7;  // the rest is for users' requests
 constexpr Duration kDirectTimeout{3000};
+constexpr Duration kAskTimeout{1500};
 }  // namespace
 
 Leader::Leader(Services services, Token token)
@@ -35,9 +36,7 @@
   s_.runtime.after(kTick, guard([this] { tick(); }));
   Instant now = s_.runtime.now();
   if (!settled_) {
-    // DESIGN: a new leader waits one full report round before placing or giving back.
-    Duration round = s_.platform.reportEvery * 5 / 4 + Duration{500};
-    if (now - since_ >= round) {
+    if (roundOver()) {
       settled_ = true;
       loadForecasts();
       spdlog::info("report round over: {} machines known", fleet_.machines().size());
@@ -47,6 +46,7 @@
   if (++ticks_ % kTicksPerJudgement == 0) {
     fleet_.adoptRecords(now, s_.runtime.wallMillis());
     fleet_.judge(now, catalogue_ ? &*catalogue_ : nullptr);
+    askOverdue();
   }
   if (now >= nextList_ && !listing_) readList();
   startReleases();
@@ -62,6 +62,82 @@
   kick();
 }
 
+// DESIGN: a new leader waits one full report round before placing or giving back. Where reports
+// come seldom it asks for them: the round is over when each machine has reported or was asked in
+// vain.
+bool Leader::roundOver() const {
+  Duration round = s_.platform.reportEvery * 5 / 4 + Duration{500};
+  if (s_.runtime.now() - since_ >= round) return true;
+  return askedAll_ && toAsk_.empty() && asking_.empty();
+}
+
+// With the first list, which tells the addresses of machines that this leader has not heard.
+void Leader::askAll() {
+  constexpr Duration kWorthAsking{3000};
+  if (askedAll_ || settled_ || s_.platform.reportEvery < kWorthAsking) return;
+  askedAll_ = true;
+  for (const auto& [id, m] : fleet_.machines()) {
+    if (!m.heard() && !m.address.empty() && m.listed == Listed::running) toAsk_.push_back(id);
+  }
+  spdlog::info("asking {} machines for their reports", toAsk_.size());
+  struct Step {
+    static void go(Leader& leader) {
+      constexpr int kAtOnce = 24;
+      constexpr Duration kPause{25};
+      for (int i = 0; i < kAtOnce && !leader.toAsk_.empty(); ++i) {
+        Machine* m = leader.fleet_.find(leader.toAsk_.front());
+        leader.toAsk_.pop_front();
+        if (m && !m->heard()) leader.ask(*m);
+      }
+      if (leader.toAsk_.empty()) return;
+      leader.s_.runtime.after(kPause, leader.guard([&leader] { go(leader); }));
+    }
+  };
+  Step::go(*this);
+}
+
+// Machines that should have reported by now: dead, or on their way to another node.
+void Leader::askOverdue() {
+  constexpr std::size_t kAtOnce = 32;
+  Instant now = s_.runtime.now();
+  if (!settled_) return;
+  for (auto& [id, m] : fleet_.machines()) {
+    if (asking_.size() >= kAtOnce) break;
+    if (fleet_.overdue(m, now) && !m.address.empty()) ask(m);
+  }
+}
+
+// A direct command without orders: shows the worker this leader's token and brings its report.
+void Leader::ask(Machine& m) {
+  if (!asking_.insert(m.id).second) return;
+  Tenure tenure{1};
+  if (m.heard()) {
+    tenure = m.memory.last->tenure;
+  } else if (const auto* record = s_.replica.machine(m.id)) {
+    for (const auto& t : record->tasks) tenure = std::max(tenure, t.tenure);
+  }
+  Request request{"POST", "/commands", encodeBody(commandsToJson(token_, tenure, {}))};
+  s_.http.send(m.address, std::move(request), kAskTimeout,
+               guard([this, id = m.id](const std::optional<Response>& r) {
+                 asking_.erase(id);
+                 Machine* machine = fleet_.find(id);
+                 if (!machine) return;
+                 auto body = r && (r->status == 200 || r->status == 409) ? decodeBody(r->body)
+                                                                        : std::nullopt;
+                 auto report = body ? reportFrom(*body) : std::nullopt;
+                 if (!report || report->machine != id) {
+                   ++machine->askedInVain;
+                   return;
+                 }
+                 if (!fleet_.take(*report, s_.runtime.now())) return;
+                 // Only facts are taken from it; orders go with the next report.
+                 fleet_.ordersFor(*machine, s_.runtime.now(), false);
+                 noteFacts(*machine);
+                 planDirty_ = true;
+                 kick();
+               }));
+}
+
 void Leader::kick() {
   if (kicked_) return;
   kicked_ = true;
--- a/src/app/leader.hpp
+++ b/src/app/leader.hpp
@@ -90,6 +90,10 @@
   bool startPlan();
   void onPlan(const PlanInput& input, const Plan& plan);
   void push(const MachineId& id);
+  void ask(Machine& m);
+  void askAll();
+  void askOverdue();
+  bool roundOver() const;
 
   // --- machines (leader_machines.cpp) ---
   void readTypes();
@@ -118,6 +122,9 @@
   std::size_t turn_ = 0;  // which kind of work comes first in the next cycle
   std::int64_t ticks_ = 0;
   bool settled_ = false;  // one report round has passed
+  bool askedAll_ = false;             // in place of waiting for the round
+  std::deque<MachineId> toAsk_;
+  std::set<MachineId> asking_;  // no answer yet
   std::optional<Catalogue> catalogue_;
   bool typesAsked_ = false;
 
--- a/src/app/leader_machines.cpp
+++ b/src/app/leader_machines.cpp
@@ -46,6 +46,7 @@
       m.type = l.type;
       m.zone = l.zone;
       m.spot = l.spot;
+      m.address = l.address;
       m.listed = l.state == ListedMachine::State::failed    ? Listed::failed
                  : l.state == ListedMachine::State::booting ? Listed::booting
                                                             : Listed::running;
@@ -54,6 +55,7 @@
     }
     if (firstList_ == Instant{}) firstList_ = now;
     fleet_.onList(machines, now, s_.platform.listLag);
+    askAll();
   }));
 }
 
--- a/src/base/event_loop.cpp
+++ b/src/base/event_loop.cpp
@@ -254,22 +254,15 @@
     spdlog::debug("no request to {}: {}", address, why);
     loop_.after(Duration{0}, [onReply = std::move(onReply)] { onReply(std::nullopt); });
   };
-  auto& idle = idle_[address];
-  evhttp_connection* connection = nullptr;
-  if (!idle.empty()) {
-    connection = idle.back();
-    idle.pop_back();
-  } else {
+  evhttp_connection* connection = takeIdle(idle_.find(address));
+  if (!connection) {
     auto parts = splitAddress(address);
     if (!parts) return fail("bad address");
     if (open_ >= maxConnections_) {
       // Sockets used up: close an idle one of another address rather than fail.
-      for (auto& [other, connections] : idle_) {
-        if (connections.empty()) continue;
-        evhttp_connection_free(connections.back());
-        connections.pop_back();
+      if (auto* other = takeIdle(idle_.begin())) {
+        evhttp_connection_free(other);
         --open_;
-        break;
       }
     }
     if (open_ >= maxConnections_) return fail("too many connections");
@@ -304,12 +297,21 @@
   }
 }
 
+// Addresses without idle connections have no entry, so any entry will do to make room.
+evhttp_connection* EvHttpClient::takeIdle(Idle::iterator at) {
+  if (at == idle_.end()) return nullptr;
+  auto* connection = at->second.back();
+  at->second.pop_back();
+  if (at->second.empty()) idle_.erase(at);
+  return connection;
+}
+
 void EvHttpClient::finish(Call* call, std::optional<Response> response, bool reuse) {
   std::unique_ptr<Call> owned(call);
   event_free(call->deadline);
-  auto& idle = idle_[call->address];
-  if (reuse && idle.size() < kIdlePerAddress) {
-    idle.push_back(call->connection);
+  auto idle = idle_.find(call->address);
+  if (reuse && (idle == idle_.end() || idle->second.size() < kIdlePerAddress)) {
+    idle_[call->address].push_back(call->connection);
   } else {
     // Not from inside evhttp's own callback.
     --open_;
--- a/src/base/event_loop.hpp
+++ b/src/base/event_loop.hpp
@@ -73,12 +73,14 @@
   struct Call;
   static void onDone(evhttp_request* req, void* arg);
   static void onDeadline(int, short, void* arg);
+  using Idle = std::map<std::string, std::vector<evhttp_connection*>>;
+  evhttp_connection* takeIdle(Idle::iterator at);
   void finish(Call* call, std::optional<Response> response, bool reuse);
 
   EventLoop& loop_;
   std::size_t maxConnections_;
   std::size_t open_{};
-  std::map<std::string, std::vector<evhttp_connection*>> idle_;
+  Idle idle_;
 };
 
 // "host:port" with a numeric IPv4 host.
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -34,6 +34,8 @@
   m.type = report.type;
   m.zone = report.zone;
   m.spot = report.spot;
+  m.address = report.address;
+  m.askedInVain = 0;
   lastHeardAny_ = now;
   if (first) {
     ++heardCount_;
@@ -157,6 +159,14 @@
   return record && !record->leaving;
 }
 
+// Reports come every reportEvery, give or take a quarter.
+Duration Fleet::reportDue() const { return platform_.reportEvery * 5 / 4 + Duration{1000}; }
+
+bool Fleet::overdue(const Machine& m, Instant now) const {
+  return m.heard() && !m.releaseWanted && now - m.memory.lastHeard > reportDue() &&
+         !silentZones_.contains(m.zone);
+}
+
 // A worker whose node went away reports to the next one after this long at worst.
 Duration Fleet::silentAfter() const {
   return 2 * platform_.reportEvery + kWorkerGivesUp + 2 * kWorkerNextNode;
@@ -192,6 +202,7 @@
     }
     m.listed = entry.listed;
     m.rentedAt = entry.rentedAt;
+    if (!m.heard()) m.address = entry.address;
     m.missedLists = 0;
   }
   for (auto& [id, m] : machines_) {
@@ -208,7 +219,7 @@
   };
   std::map<ZoneId, Count> zones;
   int reporting = 0;
-  const Duration due = platform_.reportEvery * 5 / 4 + Duration{1000};
+  const Duration due = reportDue();
   for (const auto& [id, m] : machines_) {
     if (!m.heard()) {
       const auto* record = replica_.machine(id);
@@ -277,6 +288,11 @@
       // The zone has just come back: its workers find the leader one after the other.
       silent = std::min(silent, now - back->second);
     }
+    // A worker that lives answers a direct question, whichever node it reports to.
+    constexpr int kEnough = 2;
+    if (m.heard() && overdue(m, now) && reporting > 0 && m.askedInVain >= kEnough) {
+      patience = std::min(patience, reportDue());
+    }
     if (!m.heard()) patience += silentAfter() / 2;
     if (silent > patience) {
       wantRelease(m, "silent for " + std::to_string(silent.count()) + " ms");
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -26,6 +26,9 @@
   int missedLists{};
   Instant rentedAt{};  // as far as known
   Instant firstSeen{};
+  std::string address;         // as last reported or listed
+  int askedInVain{};           // direct questions in a row without an answer
+  std::optional<Instant> askedAt;
   bool releaseWanted{};
   std::string releaseWhy;
   struct Image {
@@ -61,6 +64,8 @@
   std::size_t heardCount() const { return heardCount_; }
   // Machines to be released, until they are.
   const std::set<MachineId>& toRelease() const { return toRelease_; }
+  // Whether a machine that should have reported by now is worth a direct question.
+  bool overdue(const Machine& m, Instant now) const;
   // Zones from which hardly any machine reports that should.
   const std::set<ZoneId>& silentZones() const { return silentZones_; }
   // Machines that report although they are on no rental's record, found by judge().
@@ -83,6 +88,7 @@
   Wish wishFor(const Machine& m, const AttemptId& id, Instant now) const;
   void touchImages(Machine& m);
   Duration silentAfter() const;
+  Duration reportDue() const;
 
   const Platform& platform_;
   const Replica& replica_;
--- a/src/jobs/service.cpp
+++ b/src/jobs/service.cpp
@@ -114,7 +114,14 @@
   return std::nullopt;
 }
 
-void JobService::submit(const Request& request, const Respond& respond) {
+void JobService::submit(const Request& request, const Respond& answer) {
+  auto respond = [answer, started = runtime_.now(), this](const Response& r) {
+    if (r.status >= 300) {
+      spdlog::debug("submission answered {} after {} ms", r.status,
+                    (runtime_.now() - started).count());
+    }
+    answer(r);
+  };
   auto body = decodeBody(request.body);
   if (!body || !body->is_object()) return respond(jsonResponse(400, {{"error", "not a CBOR map"}}));
   auto ref = textField(*body, "ref");
