--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -40,7 +40,7 @@
       settings_(settings),
       store_(runtime, http, platform.stateAddress,
              platform.stateRequestsPerS / static_cast<double>(platform.nodes())),
-      cloud_(runtime, http, platform.cloudAddress, platform.cloudRequestsPerS * 0.8),
+      cloud_(runtime, http, platform.cloudAddress, platform.cloudRequestsPerS * 0.9),
       feed_(runtime, store_, replica_, feedSettings(platform)),
       mesh_(runtime, http, platform),
       jobs_(runtime, store_, feed_, replica_, platform),
@@ -139,9 +139,15 @@
     if (!ok || leader_ || !election_.leads()) return;
     if (!election_.isMine(replica_.leader()) || replica_.leaderToken() != election_.token()) return;
     feed_.setInterval(kLeaderRead);
-    leader_ = std::make_unique<Leader>(Leader::Services{runtime_, store_, feed_, replica_, cloud_,
-                                                        http_, planner_, platform_, settings_},
-                                       election_.token());
+    leader_ = std::make_unique<Leader>(
+        Leader::Services{
+            runtime_, store_, feed_, replica_, cloud_, http_, planner_, platform_, settings_,
+            [this](const ZoneId& zone) {
+              return std::any_of(
+                  platform_.peers.begin(), platform_.peers.end(),
+                  [&](const Peer& p) { return p.zone == zone && mesh_.mayLive(p.member); });
+            }},
+        election_.token());
   });
 }
 
--- a/src/app/leader.cpp
+++ b/src/app/leader.cpp
@@ -28,7 +28,7 @@
   windowEnds_ = since_ + s_.settings.window;
   if (s_.replica.catalogue()) catalogue_ = catalogueFrom(*s_.replica.catalogue());
   fleet_.adoptRecords(since_, s_.runtime.wallMillis());
-  fleet_.judge(since_, catalogue_ ? &*catalogue_ : nullptr);
+  fleet_.judge(since_, catalogue_ ? &*catalogue_ : nullptr, s_.standIn);
   tick();
 }
 
@@ -45,7 +45,7 @@
   if (!catalogue_) readTypes();
   if (++ticks_ % kTicksPerJudgement == 0) {
     fleet_.adoptRecords(now, s_.runtime.wallMillis());
-    fleet_.judge(now, catalogue_ ? &*catalogue_ : nullptr);
+    fleet_.judge(now, catalogue_ ? &*catalogue_ : nullptr, s_.standIn);
     askOverdue();
   }
   if (now >= nextList_ && !listing_) readList();
@@ -123,7 +123,7 @@
                  Machine* machine = fleet_.find(id);
                  if (!machine) return;
                  auto body = r && (r->status == 200 || r->status == 409) ? decodeBody(r->body)
-                                                                        : std::nullopt;
+                                                                         : std::nullopt;
                  auto report = body ? reportFrom(*body) : std::nullopt;
                  if (!report || report->machine != id) {
                    ++machine->askedInVain;
--- a/src/app/leader.hpp
+++ b/src/app/leader.hpp
@@ -27,6 +27,8 @@
     PlanRunner& planner;
     const Platform& platform;
     const OperatorSettings& settings;
+    // Whether a controller in that zone may be answering its workers unseen.
+    std::function<bool(const ZoneId&)> standIn;
   };
   Leader(Services services, Token token);
   Leader(const Leader&) = delete;
@@ -121,8 +123,8 @@
   Instant nextPlan_{};    // plans take a bounded share of the time
   std::size_t turn_ = 0;  // which kind of work comes first in the next cycle
   std::int64_t ticks_ = 0;
-  bool settled_ = false;  // one report round has passed
-  bool askedAll_ = false;             // in place of waiting for the round
+  bool settled_ = false;   // one report round has passed
+  bool askedAll_ = false;  // in place of waiting for the round
   std::deque<MachineId> toAsk_;
   std::set<MachineId> asking_;  // no answer yet
   std::optional<Catalogue> catalogue_;
@@ -144,7 +146,7 @@
   std::set<MachineId> releasing_;            // asked, no answer yet
   std::set<MachineId> releaseConfirmed_;     // 200, still on record
 
-  std::deque<RentalRecord> rentalsWanted_;  // to be written down before they are asked for
+  std::map<Offer, std::uint32_t> wanted_;  // machines to be rented, by the last decision
   std::set<RentalId> rentalsAsked_;
   std::map<RentalId, HireResult> rentalResults_;  // to be committed
   std::map<Offer, Instant> refused_;              // when last
--- a/src/app/leader_commits.cpp
+++ b/src/app/leader_commits.cpp
@@ -456,11 +456,30 @@
     spdlog::info("{} machines in {} adopted", record.count, offer.zone.value);
     add(record.id, toJson(record));
   }
-  std::size_t written = 0;
-  while (!rentalsWanted_.empty() && !full()) {
-    add(rentalsWanted_.front().id, toJson(rentalsWanted_.front()));
-    rentalsWanted_.pop_front();
+  // No more than the cloud takes calls for in a second: what is still wanted later is decided
+  // anew until then, so that few calls carry many machines each.
+  constexpr std::uint32_t kMostAtOnce = 50;  // that the cloud rents in one call
+  std::size_t underWay = 0, written = 0;
+  for (const auto& [id, r] : s_.replica.rentals()) {
+    underWay += !r.answered && !rentalResults_.contains(id) ? 1 : 0;
+  }
+  auto most = static_cast<std::size_t>(std::max(1.0, s_.platform.cloudRequestsPerS));
+  while (!wanted_.empty() && underWay + written < most && !full()) {
+    // Work that needs ordinary machines can use no others; then the most that one call brings.
+    auto next = std::max_element(wanted_.begin(), wanted_.end(), [](const auto& a, const auto& b) {
+      if (a.first.spot != b.first.spot) return a.first.spot;
+      return a.second < b.second;
+    });
+    std::uint32_t n = std::min(next->second, kMostAtOnce);
+    const Offer& offer = next->first;
+    // Unique for ever: tokens are, and the counter within one.
+    RentalId id{"r-" + std::to_string(token_.value) + "-" + std::to_string(++rentalCount_)};
+    RentalRecord record{id,    offer.type, offer.zone, offer.spot, n, s_.runtime.wallMillis(),
+                        false, {}};
+    add(id, toJson(record));
     ++written;
+    next->second -= n;
+    if (next->second == 0) wanted_.erase(next);
   }
   if (t.writes.empty()) {
     for (const auto& id : ended) rentalResults_.erase(id);
--- a/src/app/leader_machines.cpp
+++ b/src/app/leader_machines.cpp
@@ -175,6 +175,7 @@
   nextRentCheck_ = now + Duration{1000};
   std::erase_if(refused_, [&](const auto& r) { return now - r.second > kScarceMemory; });
   auto demand = demandNow();
+  wanted_.clear();
   // Work that finds no room needs the machines that were to be emptied.
   if (!unplaced_.empty()) emptying_.clear();
   for (const auto& type : catalogue_->types) {
@@ -205,7 +206,6 @@
                    : static_cast<std::uint32_t>(result->second.machines.size());
       in.ordered[{rental.type, rental.zone, rental.spot}] += n;
     }
-    for (const auto& r : rentalsWanted_) in.ordered[{r.type, r.zone, r.spot}] += r.count;
     for (auto& [id, m] : fleet_.machines()) {
       const auto* record = s_.replica.machine(id);
       if (m.type != type.id || m.releaseWanted || (record && record->leaving) || m.noticeEnds ||
@@ -243,38 +243,22 @@
         emptyMachines(type.id, static_cast<std::size_t>(ordinary - needed));
       }
     }
-    constexpr std::uint32_t most = 50;  // that the cloud rents at once
     std::size_t have = in.machines.size();
     for (const auto& [offer, n] : in.ordered) have += n;
     for (const auto& rental : out.rentals) {
-      std::uint32_t left = rental.count;
+      std::uint32_t count = rental.count;
       if (s_.settings.maxMachines > 0) {
-        left = std::min<std::uint32_t>(
-            left, have < s_.settings.maxMachines
-                      ? static_cast<std::uint32_t>(s_.settings.maxMachines - have)
-                      : 0);
-      }
-      have += left;
-      while (left > 0) {
-        std::uint32_t n = std::min(left, most);
-        // Unique for ever: tokens are, and the counter within one.
-        RentalId id{"r-" + std::to_string(token_.value) + "-" + std::to_string(++rentalCount_)};
-        rentalsWanted_.push_back({id,
-                                  rental.offer.type,
-                                  rental.offer.zone,
-                                  rental.offer.spot,
-                                  n,
-                                  s_.runtime.wallMillis(),
-                                  false,
-                                  {}});
-        left -= n;
+        auto left = s_.settings.maxMachines > have ? s_.settings.maxMachines - have : 0;
+        count = static_cast<std::uint32_t>(std::min<std::size_t>(count, left));
       }
+      have += count;
+      if (count > 0) wanted_[rental.offer] += count;
     }
     for (const auto& id : out.giveBack) {
       if (auto* m = fleet_.find(id)) fleet_.wantRelease(*m, "idle above the target");
     }
   }
-  if (!rentalsWanted_.empty()) kick();
+  if (!wanted_.empty()) kick();
 }
 
 void Leader::turnWindow() {
--- a/src/config/platform.hpp
+++ b/src/config/platform.hpp
@@ -64,10 +64,6 @@
     auto bound = (cancelWithin - workerLease) * 999 / 1000 - Duration{3000};
     return std::max(bound, Duration{0});
   }
-  bool hasController(const ZoneId& z) const {
-    return z == zone ||
-           std::any_of(peers.begin(), peers.end(), [&](const Peer& p) { return p.zone == z; });
-  }
 };
 
 // Throws std::runtime_error with one line that names the file and the field.
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -212,7 +212,8 @@
   }
 }
 
-void Fleet::judge(Instant now, const Catalogue* catalogue) {
+void Fleet::judge(Instant now, const Catalogue* catalogue,
+                  const std::function<bool(const ZoneId&)>& standIn) {
   catalogue_ = catalogue;
   struct Count {
     int onTime = 0, overdue = 0;
@@ -282,7 +283,7 @@
     Duration patience = silentAfter();
     if (silentZones_.contains(m.zone) || reporting == 0) {
       Duration inside = platform_.workerLease + Duration{1000};
-      if (platform_.hasController(m.zone)) inside += platform_.trustBound();
+      if (standIn(m.zone)) inside += platform_.trustBound();
       patience = std::max(patience, inside);
     } else if (auto back = zoneSilentAt_.find(m.zone); back != zoneSilentAt_.end()) {
       // The zone has just come back: its workers find the leader one after the other.
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 
@@ -26,8 +27,8 @@
   int missedLists{};
   Instant rentedAt{};  // as far as known
   Instant firstSeen{};
-  std::string address;         // as last reported or listed
-  int askedInVain{};           // direct questions in a row without an answer
+  std::string address;  // as last reported or listed
+  int askedInVain{};    // direct questions in a row without an answer
   std::optional<Instant> askedAt;
   bool releaseWanted{};
   std::string releaseWhy;
@@ -79,7 +80,9 @@
   // Whether new work may be placed on it.
   bool usable(const Machine& m, Instant now) const;
   // Machines to give up: dead, failed, never booted, taken, faulty.
-  void judge(Instant now, const Catalogue* catalogue);
+  // `standIn` tells whether a controller in that zone may be answering its workers unseen.
+  void judge(Instant now, const Catalogue* catalogue,
+             const std::function<bool(const ZoneId&)>& standIn);
   // The newest sign of any worker.
   Instant lastHeardAny() const { return lastHeardAny_; }
   bool faulty(const Machine& m) const { return m.failedJobs.size() >= 2; }
--- a/src/leadership/mesh.cpp
+++ b/src/leadership/mesh.cpp
@@ -6,6 +6,7 @@
 namespace {
 // A read that is answered may have been sent a little before one that fails.
 constexpr Duration kAnswerUnderWay{300};
+constexpr Duration kAtOnce{200};
 }  // namespace
 
 Json toJson(const Sighting& s) {
@@ -47,12 +48,15 @@
   for (const auto& peer : peers_) {
     if (asking_[peer.member]) continue;  // still waiting for its last answer
     asking_[peer.member] = true;
-    http_.send(peer.address, {"POST", "/mesh/hello", encodeBody(toJson(own_()))}, Duration{1000},
-               [this, member = peer.member](const std::optional<Response>& r) {
-                 asking_[member] = false;
-                 if (!r || r->status != 200) return;
-                 if (auto body = decodeBody(r->body)) note(*body);
-               });
+    http_.send(
+        peer.address, {"POST", "/mesh/hello", encodeBody(toJson(own_()))}, Duration{1000},
+        [this, member = peer.member, asked = runtime_.now()](const std::optional<Response>& r) {
+          asking_[member] = false;
+          // A cut hangs; only a refusal fails at once.
+          if (!r && runtime_.now() - asked < kAtOnce) refusedAt_[member] = runtime_.now();
+          if (!r || r->status != 200) return;
+          if (auto body = decodeBody(r->body)) note(*body);
+        });
   }
   runtime_.after(every_, [this] { tell(); });
 }
@@ -98,6 +102,13 @@
   return &it->second.first;
 }
 
+bool Mesh::mayLive(const MemberId& peer) const {
+  auto refused = refusedAt_.find(peer);
+  if (refused == refusedAt_.end()) return true;
+  auto heard = sightings_.find(peer);
+  return heard != sightings_.end() && heard->second.second > refused->second;
+}
+
 std::optional<MemberId> Mesh::peerWithStore(Instant failing) const {
   for (const auto& peer : peers_) {
     auto it = sightings_.find(peer.member);
