--- a/src/leadership/mesh.cpp
+++ b/src/leadership/mesh.cpp
@@ -7,6 +7,7 @@
 // A read that is answered may have been sent a little before one that fails.
 constexpr Duration kAnswerUnderWay{300};
 constexpr Duration kAtOnce{200};
+constexpr Duration kLongerThanARestart{10000};
 }  // namespace
 
 Json toJson(const Sighting& s) {
@@ -53,7 +54,10 @@
         [this, member = peer.member, asked = runtime_.now()](const std::optional<Response>& r) {
           asking_[member] = false;
           // A cut hangs; only a refusal fails at once.
-          if (!r && runtime_.now() - asked < kAtOnce) refusedAt_[member] = runtime_.now();
+          Instant now = runtime_.now();
+          if (!r && now - asked < kAtOnce) {
+            refusals_.try_emplace(member, Refusals{now, now}).first->second.last = now;
+          }
           if (!r || r->status != 200) return;
           if (auto body = decodeBody(r->body)) note(*body);
         });
@@ -67,6 +71,7 @@
   for (const auto& peer : peers_) {
     if (peer.member != s->member) continue;
     sightings_[s->member] = {*s, runtime_.now()};
+    refusals_.erase(s->member);
     if (onNews) onNews();
   }
 }
@@ -103,10 +108,9 @@
 }
 
 bool Mesh::mayLive(const MemberId& peer) const {
-  auto refused = refusedAt_.find(peer);
-  if (refused == refusedAt_.end()) return true;
-  auto heard = sightings_.find(peer);
-  return heard != sightings_.end() && heard->second.second > refused->second;
+  auto refused = refusals_.find(peer);
+  return refused == refusals_.end() ||
+         refused->second.last - refused->second.first > kLongerThanARestart;
 }
 
 std::optional<MemberId> Mesh::peerWithStore(Instant failing) const {
--- a/src/leadership/mesh.hpp
+++ b/src/leadership/mesh.hpp
@@ -38,7 +38,8 @@
   // What a peer said no longer ago than `within`.
   const Sighting* heard(const MemberId& peer, Duration within) const;
   // Whether the peer may be at work out of our sight. One that refused a connection since it was
-  // last heard has most likely ended, and has nothing to work with until it has read the records.
+  // last heard has most likely ended, and has nothing to work with until it has read the records;
+  // but a process that ends is started again soon, so long refusals come from a filter between us.
   bool mayLive(const MemberId& peer) const;
   // A peer that has reached the state service since `failing`, when it began to fail here. A peer
   // that reached it shortly before may be in the same outage.
@@ -55,7 +56,10 @@
   std::vector<Peer> peers_;
   std::map<MemberId, std::pair<Sighting, Instant>> sightings_;
   std::map<MemberId, bool> asking_;
-  std::map<MemberId, Instant> refusedAt_;
+  struct Refusals {
+    Instant first, last;
+  };
+  std::map<MemberId, Refusals> refusals_;  // since the peer was last heard
   std::function<Sighting()> own_;
   Duration every_{1000};
 };
--- a/src/leadership/mesh_test.cpp
+++ b/src/leadership/mesh_test.cpp
@@ -30,5 +30,29 @@
   EXPECT_FALSE(mesh.peerWithStore(Instant{9000}));
 }
 
+// Found on grown sites: a zone cut off whose controller had just ended was waited for in vain; one
+// behind a packet filter was taken for dead, and the running work of its zone was released.
+TEST(Mesh, AFreshRefusalIsAnEndedPeerALongOneAFilter) {
+  std::mt19937_64 random(1);
+  sim::Clockwork clock;
+  sim::Network network(clock, random);
+  sim::HostRuntime runtime(clock, network, "me", 1.0);
+  Platform platform;
+  MemberId peer{"peer"};
+  platform.peers.push_back({peer, ZoneId{"a"}, "peer:1"});  // nobody listens there
+  Mesh mesh(runtime, runtime, platform);
+  EXPECT_TRUE(mesh.mayLive(peer));
+  mesh.start([] { return Sighting{MemberId{"me"}, {}, false, {}, {}, true}; }, Duration{500});
+  clock.runUntil(3000);
+  EXPECT_FALSE(mesh.mayLive(peer));
+  clock.runUntil(15000);
+  EXPECT_TRUE(mesh.mayLive(peer));
+  mesh.onHello(
+      {"POST", "/mesh/hello", encodeBody(toJson(Sighting{peer, {}, false, {}, {}, true}))});
+  EXPECT_TRUE(mesh.mayLive(peer));
+  clock.runUntil(17000);
+  EXPECT_FALSE(mesh.mayLive(peer));
+}
+
 }  // namespace
 }  // namespace kestrelhoist
