--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -95,6 +95,17 @@
     return out;  // "all": empty
   }
 
+  // The zone of this controller, from everything outside.
+  void cutZone(int node, CutMode how, std::int64_t ms) {
+    const auto& zones = settings_.zones;
+    const auto& zone = zones[static_cast<std::size_t>(node) % zones.size()];
+    std::set<std::string> inside{"node" + std::to_string(node)};
+    for (const auto& [host, worker] : world_->workers) {
+      if (worker->zone == zone) inside.insert(host);
+    }
+    world_->network.cutOff(inside, how, ms);
+  }
+
   std::string busyMachine(const std::string& word) {
     auto busy = world_->machinesWithTasks();
     if (word == "busy") return busy.empty() ? "" : busy.front();
@@ -157,13 +168,7 @@
     } else if (verb == "cutzone") {  // cutzone leader|other MODE SECONDS: from everything outside
       int node = w.nodeFrom("leader");
       if (words.at(1) == "other") node = (node + 1) % settings_.nodes;
-      const auto& zones = settings_.zones;
-      const auto& zone = zones[static_cast<std::size_t>(node) % zones.size()];
-      std::set<std::string> inside{"node" + std::to_string(node)};
-      for (const auto& [host, worker] : w.workers) {
-        if (worker->zone == zone) inside.insert(host);
-      }
-      w.network.cutOff(inside, mode(words.at(2)), ms(words.at(3)));
+      cutZone(node, mode(words.at(2)), ms(words.at(3)));
     } else if (verb == "cutmachine") {  // cutmachine WHICH MODE SECONDS
       w.network.cut(busyMachine(words.at(1)), {}, mode(words.at(2)), ms(words.at(3)));
     } else if (verb == "outage") {
@@ -217,6 +222,10 @@
       }
     } else if (what == "starts") {  // expect starts most N
       EXPECT_LE(w.starts, std::stoul(words.at(3)));
+    } else if (what == "writes") {  // changes to the state service so far
+      EXPECT_LE(w.state.changes_made, std::stoul(words.at(3)));
+    } else if (what == "hires") {  // rental calls so far
+      EXPECT_LE(w.hireCalls, std::stoul(words.at(3)));
     } else if (what == "hired") {
       EXPECT_LE(w.hired, std::stoul(words.at(3)));
     } else {
@@ -238,7 +247,7 @@
       auto duration = static_cast<std::int64_t>(2000 + pick(38000));
       auto anyMode = static_cast<CutMode>(pick(3));
       const char* groups[] = {"all", "state", "workers", "peers", "cloud"};
-      switch (pick(14)) {
+      switch (pick(15)) {
         case 0:
           w.crash(node);
           break;
@@ -270,6 +279,9 @@
         case 9:
           w.cloudOutageUntil = w.clock.now() + duration;
           break;
+        case 11:
+          cutZone(node, anyMode, 2 * duration);
+          break;
         case 10:
           if (!submitted_.empty()) w.abort(submitted_[pick(submitted_.size())]);
           break;
--- a/tests/sim/state_stand_in.cpp
+++ b/tests/sim/state_stand_in.cpp
@@ -89,6 +89,7 @@
 Response StateStandIn::commit(const Json& body) {
   const Json& when = body.at("when");
   const Json& writes = body.at("writes");
+  changes_made += writes.size();
   if (writes.size() > transactionOps || when.size() > 4 * transactionOps ||
       body.dump().size() > 64 * 1024) {
     return jsonResponse(400, {{"error", "too large"}});
--- a/tests/sim/state_stand_in.hpp
+++ b/tests/sim/state_stand_in.hpp
@@ -12,6 +12,7 @@
   void refuse(const std::string& host, std::int64_t ms) { refused_[host] = clock_.now() + ms; }
   std::size_t transactionOps = 8;
   std::size_t valueBytes = 8192;
+  std::size_t changes_made = 0;  // puts and deletes, failed transactions' included
 
  private:
   struct Entry {
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -346,6 +346,7 @@
   if (path == "/hosts" && q.method == "POST") {
     auto hire = body->at("hire").get<std::string>();
     if (hires_.contains(hire)) return jsonResponse(200, hires_[hire]);
+    ++hireCalls;
     auto zone = body->at("site").get<std::string>();
     bool spot = body->at("loaners").get<bool>();
     int used = 0;
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -119,6 +119,7 @@
   std::int64_t cloudOutageUntil = 0;
   std::size_t starts = 0;
   std::size_t hired = 0;
+  std::size_t hireCalls = 0;
 
   // For workers and the checker.
   std::string nodeApi(int i) const { return "node" + std::to_string(i) + ":80"; }
