--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -29,7 +29,6 @@
   Instant firstSeen{};
   std::string address;  // as last reported or listed
   int askedInVain{};    // direct questions in a row without an answer
-  std::optional<Instant> askedAt;
   bool releaseWanted{};
   std::string releaseWhy;
   struct Image {
