--- a/src/app/leader_commits.cpp
+++ b/src/app/leader_commits.cpp
@@ -160,10 +160,13 @@
   bool open(const JobId& id, const JobState& job, std::uint32_t stretch) {
     if (drafts_.contains({id, stretch})) return true;
     // Room for this stretch and for its job's end.
-    if (drafts_.size() + ending_ + 2 > limit_) return false;
+    if (full_ || drafts_.size() + ending_ + 2 > limit_) return false;
     Draft draft{&job, leader_.s_.replica.stretchOf(job, stretch), 0, 0, false};
     std::size_t size = draft.record.bytes();
-    if (bytes_ + size + kBytesPerWrite > kMaxBytes && !drafts_.empty()) return false;
+    if (bytes_ + size + kBytesPerWrite > kMaxBytes && !drafts_.empty()) {
+      full_ = true;  // asked again for each of thousands of placements, which must cost nothing
+      return false;
+    }
     bytes_ += size + kBytesPerWrite;
     draft.bytes = size;
     if (auto due = leader_.due_.find({id, stretch}); due != leader_.due_.end()) {
@@ -266,6 +269,7 @@
   std::map<JobId, std::uint32_t> newlyDone_;
   std::vector<std::pair<AttemptId, Gone>> settled_;
   std::size_t ending_ = 0;
+  bool full_ = false;
   std::size_t bytes_ = 1024;
 };
 
