--- a/src/members/job_lists.cpp
+++ b/src/members/job_lists.cpp
@@ -115,7 +115,7 @@
   if (numbers.empty()) return;
   const auto* order = replica_.memberJobs().of(owner);
   if (order && !order->empty() && order->rbegin()->first > replica_.cursor()) {
-    watches_.early.insert(owner);
+    watches_.defer(owner);
   }
   for (auto number : numbers) {
     auto w = watches_.take(number);
@@ -132,7 +132,7 @@
 }
 
 void MemberService::onRecordsChanged() {
-  std::set<Owner> owners = std::exchange(watches_.early, {});
+  std::set<Owner> owners = watches_.takeDeferred();
   owners.merge(replica_.memberJobs().takeTouched());
   for (const auto& owner : owners) serve(owner);
 }
--- a/src/members/watches.hpp
+++ b/src/members/watches.hpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <map>
+#include <utility>
 #include <vector>
 
 #include "members/job_index.hpp"
@@ -39,14 +40,17 @@
   // Numbers of a member's watches.
   std::vector<Number> of(const Owner& owner) const;
   std::size_t size() const { return watches_.size(); }
-  // Members whose newest change is not to be shown yet: this copy may miss older ones of others.
-  std::set<Owner> early;
+  // A member whose newest change is not to be shown yet: this copy may miss older ones of others.
+  void defer(const Owner& owner) { early_.insert(owner); }
+  // Those that were put off, once.
+  std::set<Owner> takeDeferred() { return std::exchange(early_, {}); }
 
  private:
   std::size_t perMember_, all_;
   Number next_ = 0;
   std::map<Number, Watch> watches_;
   std::map<Owner, std::set<Number>> byOwner_;
+  std::set<Owner> early_;
 };
 
 }  // namespace kestrelhoist
--- a/src/rules/snake_expr.cpp
+++ b/src/rules/snake_expr.cpp
@@ -39,7 +39,9 @@
   Eval(const Source& source, std::size_t base, SnakeEnv& env)
       : source_(source), base_(base), env_(env) {}
 
-  Place place(const Node& n) const { return source_.at(base_ + n.begin().byte); }
+  // Not n.begin(): that builds a position with the source's name, of which a node keeps only a view
+  // into the input, and the input has ended with treeOf.
+  Place place(const Node& n) const { return source_.at(base_ + n.m_begin.byte); }
 
   [[noreturn]] void refuse(const Node& n, const std::string& construct,
                            const std::string& why = "is not supported: it needs Python") const {
