Relays: any controller answers workers for the leader; services through peers

Change: package src/reach. A report that comes to a follower goes to the leader in batches and is answered with the leader's orders; without a leader it is answered bare, under the bound that exists, and tasks of jobs known to be over are stopped. A controller whose own link to the state service or the cloud fails asks them through a peer that has reached them since. Commands to workers go through the peer that heard them. A new leader asks peers when each worker was answered last. The office no longer moves for workers that peers pass on. Metrics only where asked for.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -17,6 +17,8 @@
 constexpr Duration kLeaseLife{3000};
 constexpr Duration kLeaseRenew{700};
 constexpr Duration kStoreTimeout{1000};
+constexpr Duration kRelayDoubt{3000};  // reports passed on in vain for so long
+constexpr Duration kSweepEvery{30000};
 
 Feed::Settings feedSettings(const Platform& p) {
   Feed::Settings s;
@@ -38,21 +40,34 @@
       planner_(planner),
       platform_(platform),
       settings_(settings),
-      store_(runtime, http, platform.stateAddress,
+      mesh_(runtime, http, platform),
+      stateWay_(runtime, http, mesh_,
+                {"state",
+                 platform.stateAddress,
+                 {"GET", std::string("/store/") + keys::kLeader, ""},
+                 kStoreTimeout},
+                [](const Sighting& s) { return s.storeAge; }),
+      cloudWay_(
+          runtime, http, mesh_,
+          {"cloud", platform.cloudAddress, {"GET", "/machine_types", ""}, 3 * kStoreTimeout},
+          [](const Sighting& s) { return s.cloudAge; }),
+      workerLine_(runtime, http, mesh_),
+      relay_(runtime, mesh_, platform.member),
+      store_(runtime, stateWay_, platform.stateAddress,
              platform.stateRequestsPerS / static_cast<double>(platform.nodes())),
-      cloud_(runtime, http, platform.cloudAddress, platform.cloudRequestsPerS * 0.9),
+      cloud_(runtime, cloudWay_, platform.cloudAddress, platform.cloudRequestsPerS * 0.9),
       feed_(runtime, store_, replica_, feedSettings(platform)),
-      mesh_(runtime, http, platform),
       jobs_(runtime, store_, feed_, replica_, platform),
       flows_(runtime, store_, feed_, replica_, platform, settings,
              [this] { return jobs_.catalogue(); }),
       election_({platform.member, boot, kLeaseLife, kLeaseRenew}) {
   if (!settings.members.enabled) return;
+  metrics_ = std::make_unique<Metrics>();
   members_ =
       std::make_unique<MemberService>(runtime, store_, feed_, replica_, platform, settings.members,
-                                      jobs_, flows_, &metrics_, std::hash<std::string>{}(boot));
-  store_.onCommitted = [this](Outcome o) { metrics_.committed(wordOf(o), leads()); };
-  metrics_.gauges = [this] {
+                                      jobs_, flows_, metrics_.get(), std::hash<std::string>{}(boot));
+  store_.onCommitted = [this](Outcome o) { metrics_->committed(wordOf(o), leads()); };
+  metrics_->gauges = [this] {
     MetricGauges g;
     members_->fill(g);
     g.liveJobs = static_cast<double>(replica_.live().size());
@@ -86,6 +101,12 @@
 void Controller::onRecordsChanged() {
   if (members_) members_->onRecordsChanged();
   lastToken_ = std::max(lastToken_, replica_.leaderToken());
+  // One read can bring another's election together with what it has written since. A leader that
+  // was cut off must not take those records for its own (flow-faults: a job of the new leader's whose
+  // inputs were not done in the old one's picture).
+  if (leader_ && replica_.leaderToken() != election_.token()) {
+    leaveOffice("another leads or the lease ended", false, Duration{0});
+  }
   if (leader_) leader_->onRecordsChanged();
   runElection();
 }
@@ -95,6 +116,17 @@
   Instant now = runtime_.now();
   if (members_ && ticked_ != Instant{}) members_->tick(kTick, now - ticked_);
   ticked_ = now;
+  const auto& holder = replica_.leader();
+  if (!holder || holder->member == platform_.member || mesh_.heard(holder->member, kMeshHeard)) {
+    holderUnheardSince_.reset();
+  } else if (!holderUnheardSince_) {
+    holderUnheardSince_ = now;
+  }
+  if (now - sweptAt_ > kSweepEvery) {
+    sweptAt_ = now;
+    answered_.sweep(now);
+    std::erase_if(sentAway_, [&](const auto& e) { return now - e.second > kSweepEvery; });
+  }
   runElection();
   watchOffice();
 }
@@ -160,15 +192,35 @@
     if (!ok || leader_ || !election_.leads()) return;
     if (!election_.isMine(replica_.leader()) || replica_.leaderToken() != election_.token()) return;
     feed_.setInterval(kLeaderRead);
-    Office office{runtime_, store_,    feed_,     replica_,          cloud_,
-                  http_,    platform_, settings_, election_.token(), runtime_.now()};
+    workerLine_.forget();
+    Office office{runtime_,    store_,    feed_,     replica_,          cloud_,
+                  workerLine_, platform_, settings_, election_.token(), runtime_.now()};
+    office.workersReached = [this](Instant sent) { return workerLine_.reachedSince(sent); };
     leader_ = std::make_unique<Leader>(office, planner_, [this](const ZoneId& zone) {
       return std::any_of(platform_.peers.begin(), platform_.peers.end(),
                          [&](const Peer& p) { return p.zone == zone && mesh_.mayLive(p.member); });
     });
+    for (const auto& [machine, at] : answered_.all()) leader_->fleet().answeredElsewhere(machine, at);
+    askPeersForAnswered();
   });
 }
 
+// A worker that nobody answers any more is known by when it was answered last: else a new leader
+// counts its silence from its own first moment, and its tasks are long over before it is given up.
+void Controller::askPeersForAnswered() {
+  for (const auto& peer : platform_.peers) {
+    mesh_.send(peer.member, {"POST", "/mesh/answered", encodeBody(Json::object())}, Duration{2000},
+               [this, token = election_.token()](const std::optional<Response>& r) {
+                 if (!leader_ || leader_->token() != token || !r || r->status != 200) return;
+                 auto body = decodeBody(r->body);
+                 if (!body) return;
+                 for (const auto& [machine, at] : Answered::from(*body, runtime_.now())) {
+                   leader_->fleet().answeredElsewhere(machine, at);
+                 }
+               });
+  }
+}
+
 void Controller::leaveOffice(const std::string& why, bool dropLease, Duration holdBack) {
   logInfo("no longer leading", "token", election_.token(), "why", why);
   lastToken_ = std::max(lastToken_, election_.token());
@@ -214,6 +266,8 @@
   for (const auto& peer : platform_.peers) {
     const auto* s = mesh_.heard(peer.member, kMeshHeard);
     anyPeer = anyPeer || s;
+    // Whoever hears workers passes their reports on to here: another leader would hear no more.
+    if (s && s->relays && unheard < patience + platform_.workerLease / 2) return;
     peersHear = peersHear || (s && s->workersAge < unheard);
   }
   // Several machines do not fall silent in one moment unless the way to them is cut: no need to
@@ -229,7 +283,14 @@
   s.member = platform_.member;
   s.token = std::max(election_.leads() ? election_.token() : Token{}, replica_.leaderToken());
   s.leading = leader_ != nullptr;
-  s.storeAge = std::min(Duration{3600000}, std::max(Duration{0}, feed_.contactAge()));
+  // By its own links: what peers reach for it is not for others to build on.
+  auto ageOf = [now = runtime_.now()](const Link& link) {
+    if (!link.lastGood()) return Duration{3600000};
+    return std::clamp(now - *link.lastGood(), Duration{0}, Duration{3600000});
+  };
+  s.storeAge = ageOf(stateWay_.link());
+  s.cloudAge = ageOf(cloudWay_.link());
+  s.relays = true;
   s.workersAge = std::min(Duration{3600000}, std::max(Duration{0}, runtime_.now() - lastWorker_));
   s.ready = feed_.loaded() && jobs_.catalogue() != nullptr;
   s.deaf = leader_ && heardMachines() > 0 &&
@@ -241,53 +302,110 @@
   return leader_ ? leader_->fleet().heardCount() : 0;
 }
 
-Response Controller::notHere() const {
-  Json body = Json::object();
-  const auto& leader = replica_.leader();
-  // Never a node that is out of reach, for us or for the workers: each try there costs a worker
-  // four seconds of its lease.
-  const auto* seen = leader ? mesh_.heard(leader->member, kMeshHeard) : nullptr;
-  if (seen && !seen->deaf) body["steward"] = leader->member.value;
-  return jsonResponse(421, body);
-}
-
-// A zone that is cut off goes on working inside. When neither the state service nor the leader can
-// be heard here, this node answers workers in the leader's stead, under the token that they and it
-// know: it orders nothing and proves nothing, but their leases go on. The same bound holds as for
-// a leader without contact, since a cancellation might be unknown here.
-bool Controller::standsIn(const Report& report) const {
-  Duration silent = feed_.contactAge();
-  if (!feed_.loaded() || silent < kStandInAfter || silent > platform_.trustBound()) return false;
-  if (lastToken_ == Token{} || report.token != lastToken_) return false;
+ReportView Controller::reportView(const Report& report) const {
+  ReportView v;
+  v.now = runtime_.now();
+  v.leads = leader_ && election_.leads();
+  v.keyLife = kLeaseLife;
+  v.loaded = feed_.loaded();
+  v.contactAge = feed_.contactAge();
+  v.trustBound = platform_.trustBound();
+  v.known = lastToken_;
+  v.reported = report.token;
+  v.foreignZone = report.zone != platform_.zone;
+  v.lease = platform_.workerLease;
+  if (auto away = sentAway_.find(report.machine); away != sentAway_.end()) {
+    v.sentAwayAgo = v.now - away->second;
+  }
+  Token newest;
+  bool anyPeer = false;
   for (const auto& peer : platform_.peers) {
     const auto* seen = mesh_.heard(peer.member, kMeshHeard);
-    // Whoever hears the leader or the state service sends workers to where orders come from.
-    if (seen && (seen->leading || seen->storeAge < kStandInAfter || seen->token > lastToken_)) {
-      return false;
+    anyPeer = anyPeer || seen;
+    if (!seen || !seen->leading || seen->token < newest) continue;
+    newest = seen->token;
+    v.leader = peer.member;
+    v.leaderRelays = seen->relays && relay_.failingFor(peer.member) < kRelayDoubt;
+    v.leaderHears = !seen->deaf;
+  }
+  v.isolated = !anyPeer && v.contactAge >= kStandInAfter;
+  if (!v.leader && v.contactAge < kStandInAfter && replica_.leader() &&
+      replica_.leader()->member != platform_.member && holderUnheardSince_) {
+    v.holder = replica_.leader()->member;
+    v.holderUnheard = v.now - *holderUnheardSince_;
+  }
+  return v;
+}
+
+// A worker keeps its lease while no leader can be asked, under the token that it and this controller
+// know. Nothing is launched or cleared, and nothing is proven by it. Tasks of jobs that are known to
+// be over are stopped: whoever keeps leases up must not keep up what was cancelled.
+Response Controller::bareAnswer(const Report& report) const {
+  std::vector<Order> orders;
+  for (const auto& task : report.tasks) {
+    const auto* job = replica_.job(task.id.task.job);
+    if (task.state != TaskState::ended && job && !job->active()) {
+      orders.push_back({Order::Kind::stop, task.id, Duration{0}});
     }
   }
-  return true;
+  return jsonResponse(200, ordersToJson(lastToken_, orders));
+}
+
+Response Controller::sendAway(const Report& report, const std::optional<MemberId>& to) {
+  sentAway_[report.machine] = runtime_.now();
+  Json body = Json::object();
+  if (to) body["steward"] = to->value;
+  return jsonResponse(421, body);
 }
 
-Response Controller::onBeat(const Request& request) {
+void Controller::onBeat(const Request& request, const Respond& respond) {
   auto body = decodeBody(request.body);
   auto report = body ? reportFrom(*body) : std::nullopt;
-  if (!report) return jsonResponse(400, {{"error", "not a report"}});
-  lastWorker_ = runtime_.now();
-  if (!leader_ || !election_.leads()) {
-    return standsIn(*report) ? jsonResponse(200, ordersToJson(lastToken_, {})) : notHere();
-  }
+  if (!report) return respond(jsonResponse(400, {{"error", "not a report"}}));
+  Instant came = lastWorker_ = runtime_.now();
+  auto answer = [this, came, machine = report->machine, respond](Response r) {
+    if (r.status == 200) answered_.note(machine, came);
+    respond(std::move(r));
+  };
+  auto go = [this, answer](const Report& report, const Route& route) {
+    switch (route.way) {
+      case Way::bare:
+        return answer(bareAnswer(report));
+      case Way::sendTo:
+      case Way::refuse:
+      default:
+        return answer(sendAway(report, route.to));
+    }
+  };
+  Route route = routeReport(reportView(*report));
+  if (route.way == Way::serve) return answer(serveReport(*report, std::nullopt));
+  if (route.way != Way::relay) return go(*report, route);
+  relay_.pass(*route.to, request.body, [this, answer, go, report = *report](
+                                           const std::optional<Response>& r) {
+    if (r) return answer(*r);
+    // Asked in vain: as if the leader were not there.
+    ReportView v = reportView(report);
+    if (v.leads) return answer(serveReport(report, std::nullopt));
+    v.leader.reset();
+    go(report, routeReport(v));
+  });
+}
+
+Response Controller::serveReport(const Report& report, const std::optional<MemberId>& via) {
+  auto away = [] { return jsonResponse(421, Json::object()); };
+  if (!leader_ || !election_.leads()) return away();
   if (feed_.contactAge() > platform_.trustBound()) {
     // A node that hung finds reports waiting before its timers: the bound holds for each answer.
     leaveOffice("no contact with the state service for too long", false, Duration{1000});
-    return notHere();
+    return away();
   }
-  if (report->token > election_.token()) {
-    leaveOffice("machine " + report->machine.value + " has seen a higher token", false,
+  if (report.token > election_.token()) {
+    leaveOffice("machine " + report.machine.value + " has seen a higher token", false,
                 Duration{500});
-    return notHere();
+    return away();
   }
-  return leader_->onReport(*report, feed_.contactAge() < kStoreSilent);
+  workerLine_.heard(report.address, via);
+  return leader_->onReport(report, feed_.contactAge() < kStoreSilent);
 }
 
 Response Controller::ready() {
@@ -310,7 +428,7 @@
   std::string path = request.path.substr(0, request.path.find('?'));
   if (path == "/agent/beat") {
     if (request.method != "POST") return respond(jsonResponse(405, {{"error", "wrong method"}}));
-    return respond(onBeat(request));
+    return onBeat(request, respond);
   }
   if (path == "/ready") {
     if (request.method != "GET") return respond(jsonResponse(405, {{"error", "wrong method"}}));
@@ -334,6 +452,43 @@
   if (!answerUser(request, respond, true)) respond(jsonResponse(404, {{"error", "no such path"}}));
 }
 
+// What peers ask whose own links fail.
+bool Controller::onMeshService(const Request& request, const Respond& respond) {
+  auto below = [&](const std::string& prefix) -> std::optional<Request> {
+    if (!request.path.starts_with(prefix + "/")) return std::nullopt;
+    Request inner = request;
+    inner.path = request.path.substr(prefix.size());
+    return inner;
+  };
+  if (auto reports = below("/mesh/reports")) {
+    if (!leader_ || !election_.leads()) {
+      respond(jsonResponse(409, {{"error", "does not lead"}}));
+      return true;
+    }
+    MemberId via{reports->path.substr(1)};
+    respond(answerBatch(request, [&](const Json& item) {
+      auto report = reportFrom(item);
+      if (!report) return jsonResponse(400, {{"error", "not a report"}});
+      return serveReport(*report, via);
+    }));
+  } else if (request.path == "/mesh/answered") {
+    respond(jsonResponse(200, answered_.toJson(runtime_.now())));
+  } else if (auto state = below("/mesh/state")) {
+    stateWay_.serve(*state, respond);
+  } else if (auto cloud = below("/mesh/cloud")) {
+    cloudWay_.serve(*cloud, respond);
+  } else if (auto worker = below("/mesh/worker")) {
+    auto slash = worker->path.find('/', 1);
+    if (slash == std::string::npos) return false;
+    std::string address = worker->path.substr(1, slash - 1);
+    worker->path = worker->path.substr(slash);
+    workerLine_.serve(address, *worker, respond);
+  } else {
+    return false;
+  }
+  return true;
+}
+
 void Controller::onMesh(const Request& request, const Respond& respond) {
   std::string path = request.path.substr(0, request.path.find('?'));
   if (path == "/mesh/hello" && request.method == "POST") return respond(mesh_.onHello(request));
@@ -341,6 +496,7 @@
     feed_.fresh([](bool) {});
     return respond(jsonResponse(200, Json::object()));
   }
+  if (onMeshService(request, respond)) return;
   const std::string user = "/mesh/user";
   if (path.starts_with(user + "/")) {
     // Answered from this node's own reads; never passed on again.
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -9,6 +9,10 @@
 #include "leadership/election.hpp"
 #include "leadership/mesh.hpp"
 #include "members/service.hpp"
+#include "reach/answered.hpp"
+#include "reach/detour.hpp"
+#include "reach/relay.hpp"
+#include "reach/route.hpp"
 
 namespace kestrelhoist {
 
@@ -27,7 +31,7 @@
   void onMesh(const Request& request, const Respond& respond);
 
   // In the Prometheus text form.
-  std::string metricsText() { return metrics_.text(); }
+  std::string metricsText() { return metrics_ ? metrics_->text() : ""; }
 
   bool leads() const { return leader_ != nullptr; }
   const Replica& replica() const { return replica_; }
@@ -41,10 +45,16 @@
   void leaveOffice(const std::string& why, bool dropLease, Duration holdBack);
   void watchOffice();
   void onRecordsChanged();
-  Response onBeat(const Request& request);
-  bool standsIn(const Report& report) const;
+  void onBeat(const Request& request, const Respond& respond);
+  // As the leader. `via`: the peer that passed the report on.
+  Response serveReport(const Report& report, const std::optional<MemberId>& via);
+  ReportView reportView(const Report& report) const;
+  Response bareAnswer(const Report& report) const;
+  Response sendAway(const Report& report, const std::optional<MemberId>& to);
+  // What peers know of workers that this new leader has not heard.
+  void askPeersForAnswered();
+  bool onMeshService(const Request& request, const Respond& respond);
   Response ready();
-  Response notHere() const;
   Sighting sighting() const;
   // How many machines this leadership has heard.
   std::size_t heardMachines() const;
@@ -54,21 +64,29 @@
   PlanRunner& planner_;
   const Platform& platform_;
   const OperatorSettings& settings_;
+  Mesh mesh_;
+  Detour stateWay_;
+  Detour cloudWay_;
+  WorkerLine workerLine_;
+  Relay relay_;
+  Answered answered_;
   StoreClient store_;
   CloudClient cloud_;
   Replica replica_;
   Feed feed_;
-  Mesh mesh_;
   JobService jobs_;
   FlowService flows_;
-  Metrics metrics_;
+  std::unique_ptr<Metrics> metrics_;        // null: nobody asks
   std::unique_ptr<MemberService> members_;  // null: off
   Instant ticked_{};
+  Instant sweptAt_{};
   Election election_;
   std::unique_ptr<Leader> leader_;
   bool takingOffice_ = false;
   Token lastToken_;  // of the newest leader known of
   Instant lastWorker_{};
+  std::map<MachineId, Instant> sentAway_;  // workers told to go elsewhere, when
+  std::optional<Instant> holderUnheardSince_;
   Instant started_{};
   std::optional<Instant> leaderMissingSince_;
 };
--- a/src/fleet/dispatch.cpp
+++ b/src/fleet/dispatch.cpp
@@ -66,7 +66,7 @@
   }
   Request request{"POST", "/commands", encodeBody(commandsToJson(o_.token, tenure, {}))};
   o_.http.send(m.address, std::move(request), kAskTimeout,
-               o_.guard([this, id = m.id](const std::optional<Response>& r) {
+               o_.guard([this, id = m.id, asked = o_.runtime.now()](const std::optional<Response>& r) {
                  asking_.erase(id);
                  Machine* machine = fleet_.find(id);
                  if (!machine) return;
@@ -74,7 +74,9 @@
                                                                          : std::nullopt;
                  auto report = body ? reportFrom(*body) : std::nullopt;
                  if (!report || report->machine != id) {
-                   ++machine->askedInVain;
+                   // Silence says nothing of the machine while this controller is the one that is
+                   // cut off from all of them.
+                   if (!o_.workersReached || o_.workersReached(asked)) ++machine->askedInVain;
                    return;
                  }
                  if (!fleet_.take(*report, o_.runtime.now())) return;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -22,7 +22,7 @@
   return it == machines_.end() ? nullptr : &it->second;
 }
 
-bool Fleet::take(const Report& report, Instant now) {
+bool Fleet::take(const Report& report, Instant now, bool beat) {
   auto [it, isNew] = machines_.try_emplace(report.machine);
   Machine& m = it->second;
   if (isNew) {
@@ -30,7 +30,7 @@
     m.firstSeen = m.rentedAt = now;
   }
   bool first = !m.heard();
-  if (!takeReport(m.memory, report, now)) return false;
+  if (!takeReport(m.memory, report, now, beat)) return false;
   m.type = report.type;
   m.zone = report.zone;
   m.spot = report.spot;
@@ -60,7 +60,7 @@
 }
 
 std::vector<Order> Fleet::onReport(const Report& report, Instant now, bool mayLaunch) {
-  take(report, now);
+  take(report, now, true);
   return ordersFor(machines_.at(report.machine), now, mayLaunch);
 }
 
@@ -213,6 +213,19 @@
   }
 }
 
+void Fleet::answeredElsewhere(const MachineId& id, Instant at) {
+  if (Machine* m = find(id)) m->answeredAt = std::max(m->answeredAt.value_or(at), at);
+}
+
+// Of a machine that this leader has not heard: what others told, else what the record of the
+// windows says of its zone, else nothing is known before this leadership.
+Instant Fleet::lastSign(const Machine& m) const {
+  if (m.heard()) return m.memory.lastHeard;
+  if (m.answeredAt) return *m.answeredAt;
+  if (auto zone = silentBefore_.find(m.zone); zone != silentBefore_.end()) return zone->second;
+  return std::max(since_, m.firstSeen);
+}
+
 void Fleet::judge(Instant now, const Catalogue* catalogue,
                   const std::function<bool(const ZoneId&)>& standIn) {
   catalogue_ = catalogue;
@@ -228,7 +241,8 @@
       if (!record || record->tasks.empty()) continue;
     }
     // A new leader is not known to the workers yet.
-    Instant last = m.heard() ? m.memory.lastHeard : since_ + silentAfter() / 2;
+    Instant last = m.heard() ? m.memory.lastHeard
+                             : std::max(lastSign(m), since_ + silentAfter() / 2);
     ++(now - last <= due ? zones[m.zone].onTime : zones[m.zone].overdue);
     if (now - last <= silentAfter()) ++reporting;
   }
@@ -253,7 +267,7 @@
       wantRelease(m, "the cloud lists it as failed");
       continue;
     }
-    Instant last = m.heard() ? m.memory.lastHeard : std::max(since_, m.firstSeen);
+    Instant last = lastSign(m);
     Duration silent = now - last;
     if (m.missedLists >= 2 && silent > 2 * platform_.reportEvery) {
       wantRelease(m, "no longer listed and silent");
@@ -298,7 +312,10 @@
     if (m.heard() && overdue(m, now) && reporting > 0 && m.askedInVain >= kEnough) {
       patience = std::min(patience, reportDue());
     }
-    if (!m.heard()) patience += silentAfter() / 2;
+    // Nothing may be known of it because this leader is new and its worker still looks for a node.
+    bool unknown = !m.heard() && last >= since_;
+    if (unknown) patience += silentAfter() / 2;
+    if (!m.heard() && !unknown && now - since_ < silentAfter()) continue;
     if (silent > patience) {
       wantRelease(m, "silent for " + std::to_string(silent.count()) + " ms");
     }
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -27,6 +27,7 @@
   int missedLists{};
   Instant rentedAt{};  // as far as known
   Instant firstSeen{};
+  std::optional<Instant> answeredAt;    // by another controller, before this leader heard it
   std::optional<Instant> runningSince;  // first listed as running
   std::string address;                  // as last reported or listed
   int askedInVain{};                    // direct questions in a row without an answer
@@ -53,7 +54,11 @@
   // The same for machines that have something to be told now, outside a report.
   std::vector<Order> ordersFor(Machine& m, Instant now, bool mayLaunch);
   // A report that came as the answer to a direct command. False if it was not newer.
-  bool take(const Report& report, Instant now);
+  bool take(const Report& report, Instant now, bool beat = false);
+  // What others tell of a machine that this leader has not heard: when it was last answered.
+  void answeredElsewhere(const MachineId& id, Instant at);
+  // The same of all machines of a zone that an earlier leader found silent since then.
+  void zoneSilentSince(const ZoneId& zone, Instant at) { silentBefore_[zone] = at; }
 
   void onList(const std::vector<std::pair<MachineId, Machine>>& listed, Instant now,
               Duration listLag);
@@ -90,6 +95,8 @@
   bool faulty(const Machine& m) const { return m.failedJobs.size() >= 2; }
 
  private:
+  // The newest sign of life that is known of a machine.
+  Instant lastSign(const Machine& m) const;
   Wish wishFor(const Machine& m, const AttemptId& id, Instant now) const;
   void touchImages(Machine& m);
   Duration silentAfter() const;
@@ -107,6 +114,7 @@
   std::set<MachineId> emptying_;
   std::set<ZoneId> silentZones_;
   std::map<ZoneId, Instant> zoneSilentAt_;  // when last
+  std::map<ZoneId, Instant> silentBefore_;  // since when, as an earlier leader recorded it
   std::size_t heardCount_ = 0;
   const Catalogue* catalogue_ = nullptr;
 };
--- a/src/fleet/reconcile.cpp
+++ b/src/fleet/reconcile.cpp
@@ -21,7 +21,10 @@
 
 }  // namespace
 
-bool takeReport(MachineMemory& m, const Report& report, Instant now) {
+bool takeReport(MachineMemory& m, const Report& report, Instant now, bool beat) {
+  if (m.last && beat && report.tenure == m.last->tenure) {
+    m.lastBeat = std::max(m.lastBeat, report.tick);
+  }
   if (m.last && std::pair(report.tenure, report.tick) <= std::pair(m.last->tenure, m.last->tick)) {
     return false;
   }
@@ -29,7 +32,9 @@
     // A new session: direct commands of the old one are refused from now on.
     m.tainted.clear();
     m.launched.clear();
+    m.lastBeat = {};
   }
+  if (beat) m.lastBeat = report.tick;
   m.last = report;
   m.lastHeard = now;
   return true;
@@ -77,7 +82,10 @@
         continue;
       }
       auto launched = m.launched.find(id);
-      if (launched != m.launched.end() && report.tick <= launched->second) continue;
+      // Only a later report of the worker's own accord shows that the answer with the launch came to
+      // nothing: one that answers a direct command may overtake it, for as long as a relay or a held
+      // connection keeps that answer, and the launch would be carried out after this "proof".
+      if (launched != m.launched.end() && m.lastBeat <= launched->second) continue;
       m.gone.emplace(id, Gone::stopped);
       continue;
     }
--- a/src/leadership/mesh.cpp
+++ b/src/leadership/mesh.cpp
@@ -7,6 +7,7 @@
 // A read that is answered may have been sent a little before one that fails.
 constexpr Duration kAnswerUnderWay{300};
 constexpr Duration kAtOnce{200};
+constexpr Duration kLongAgo{3600000};
 constexpr Duration kLongerThanARestart{10000};
 }  // namespace
 
@@ -15,9 +16,11 @@
           {"token", s.token.value},
           {"leading", s.leading},
           {"store_age_ms", s.storeAge.count()},
+          {"cloud_age_ms", s.cloudAge.count()},
           {"workers_age_ms", s.workersAge.count()},
           {"ready", s.ready},
-          {"deaf", s.deaf}};
+          {"deaf", s.deaf},
+          {"relays", s.relays}};
 }
 
 std::optional<Sighting> sightingFrom(const Json& v) {
@@ -33,7 +36,10 @@
                   Duration{static_cast<std::int64_t>(*store)},
                   Duration{static_cast<std::int64_t>(*workers)},
                   boolField(v, "ready").value_or(false),
-                  boolField(v, "deaf").value_or(false)};
+                  boolField(v, "deaf").value_or(false),
+                  boolField(v, "relays").value_or(false),
+                  Duration{static_cast<std::int64_t>(
+                      countField(v, "cloud_age_ms").value_or(kLongAgo.count()))}};
 }
 
 Mesh::Mesh(Runtime& runtime, HttpClient& http, const Platform& platform)
@@ -91,17 +97,21 @@
   }
 }
 
-void Mesh::forward(const MemberId& member, const Request& request, Duration timeout, OnReply done) {
+void Mesh::send(const MemberId& member, Request request, Duration timeout, OnReply done) {
   for (const auto& peer : peers_) {
     if (peer.member != member) continue;
-    Request passed = request;
-    passed.path = "/mesh/user" + request.path;
-    http_.send(peer.address, std::move(passed), timeout, std::move(done));
+    http_.send(peer.address, std::move(request), timeout, std::move(done));
     return;
   }
   done(std::nullopt);
 }
 
+void Mesh::forward(const MemberId& member, const Request& request, Duration timeout, OnReply done) {
+  Request passed = request;
+  passed.path = "/mesh/user" + request.path;
+  send(member, std::move(passed), timeout, std::move(done));
+}
+
 const Sighting* Mesh::heard(const MemberId& peer, Duration within) const {
   auto it = sightings_.find(peer);
   if (it == sightings_.end() || runtime_.now() - it->second.second > within) return nullptr;
--- a/src/leadership/mesh.hpp
+++ b/src/leadership/mesh.hpp
@@ -14,10 +14,12 @@
   MemberId member;
   Token token;  // highest known
   bool leading{};
-  Duration storeAge{};    // since its last successful read
+  Duration storeAge{};    // since it last reached the state service by its own link
   Duration workersAge{};  // since it last heard a worker
   bool ready{};
-  bool deaf{};  // leads and heard workers before, but none lately
+  bool deaf{};    // leads and heard workers before, but none lately
+  bool relays{};  // asks services for peers and takes passed-on reports; the version before did not
+  Duration cloudAge{3600000};  // since it last reached the cloud by its own link
 };
 
 Json toJson(const Sighting& s);
@@ -32,6 +34,8 @@
   Response onHello(const Request& request);
   // Tells the leader to read at once.
   void nudge(const MemberId& leader);
+  // To a peer's address for controllers. No such peer: no answer.
+  void send(const MemberId& peer, Request request, Duration timeout, OnReply done);
   // Passes a user's request to a peer that reaches the state service.
   void forward(const MemberId& peer, const Request& request, Duration timeout, OnReply done);
 
--- a/src/leadership/office.hpp
+++ b/src/leadership/office.hpp
@@ -31,6 +31,8 @@
   Revision highest{};                    // newest revision known: of the feed or of own commits
   bool replan = true;                    // what a plan would be made from has changed
   std::function<void()> kick{};          // a duty may have something to do
+  // Whether workers were reached by something sent at this time or later. Null: always.
+  std::function<bool(Instant)> workersReached{};
   std::function<void(std::optional<Commit>)> done{};  // ends a held turn, with a commit or without
 
   // Ignores callbacks that outlive this leadership.
--- /dev/null
+++ b/src/reach/link.hpp
@@ -0,0 +1,60 @@
+// How one link of a controller does, from the traffic that flows over it anyway: pure, told what was
+// sent when and whether an answer came.
+#pragma once
+
+#include <algorithm>
+#include <optional>
+
+#include "base/types.hpp"
+
+namespace kestrelhoist {
+
+enum class LinkState { unknown, up, doubtful, down };
+
+inline const char* wordOf(LinkState s) {
+  switch (s) {
+    case LinkState::unknown:
+      return "unknown";
+    case LinkState::up:
+      return "up";
+    case LinkState::doubtful:
+      return "doubtful";
+    default:
+      return "down";
+  }
+}
+
+class Link {
+ public:
+  // `sent`: when what was answered, or was not, had been sent.
+  void answered(Instant sent) {
+    lastGood_ = std::max(lastGood_.value_or(sent), sent);
+    if (failing_ && sent >= *failing_) failing_.reset();
+    if (!failing_) failures_ = 0;
+  }
+  void failed(Instant sent) {
+    // An answer to something sent later has already shown it up.
+    if (lastGood_ && sent < *lastGood_) return;
+    if (!failing_) failing_ = sent;
+    ++failures_;
+  }
+
+  bool failing() const { return failing_.has_value(); }
+  // When the first of what goes unanswered now was sent.
+  std::optional<Instant> failingSince() const { return failing_; }
+  int failures() const { return failures_; }  // in a row
+  // When the newest that was answered had been sent.
+  std::optional<Instant> lastGood() const { return lastGood_; }
+
+  // Down once it has failed for `downAfter`; what was never tried is not taken for up or down.
+  LinkState state(Instant now, Duration downAfter) const {
+    if (failing_) return now - *failing_ >= downAfter ? LinkState::down : LinkState::doubtful;
+    return lastGood_ ? LinkState::up : LinkState::unknown;
+  }
+
+ private:
+  std::optional<Instant> lastGood_, failing_;
+  int failures_ = 0;
+};
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/reach/route.cpp
@@ -0,0 +1,28 @@
+#include "reach/route.hpp"
+
+namespace kestrelhoist {
+
+bool mayAnswerBare(const ReportView& v) {
+  return v.loaded && v.known != Token{} && v.reported <= v.known && v.contactAge <= v.trustBound;
+}
+
+Route routeReport(const ReportView& v) {
+  if (v.leads) return {Way::serve, std::nullopt};
+  // A worker that was sent away and is back did not get through there: once in half a lease, so that
+  // two nodes that point at each other can't use it up.
+  bool mayMove = !v.sentAwayAgo || *v.sentAwayAgo > v.lease / 2;
+  if (v.leader && v.leaderRelays) return {Way::relay, v.leader};
+  if (v.leader && v.leaderHears && mayMove) return {Way::sendTo, v.leader};
+  bool bare = mayAnswerBare(v);
+  if (!v.leader) {
+    // The holder renews its lease out of our sight, so it lives: only the link between us is cut.
+    if (v.holder && v.holderUnheard > v.keyLife && mayMove) return {Way::sendTo, v.holder};
+    // Cut off from everything while workers of other zones get here: it is this controller that is
+    // cut off, not its zone, so they reach the others, where orders come from.
+    if (v.isolated && v.foreignZone && mayMove) return {Way::refuse, std::nullopt};
+  }
+  if (bare) return {Way::bare, std::nullopt};
+  return {Way::refuse, std::nullopt};
+}
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/reach/route.hpp
@@ -0,0 +1,53 @@
+// What a controller does with a worker's report: pure, from what it knows of the leader, of the
+// records and of itself.
+#pragma once
+
+#include <optional>
+
+#include "base/types.hpp"
+
+namespace kestrelhoist {
+
+struct ReportView {
+  Instant now{};
+  bool leads{};
+  // The leader, as heard over the mesh a moment ago; empty: not heard.
+  std::optional<MemberId> leader;
+  bool leaderRelays{};  // it takes reports from peers, and reports passed to it are answered
+  bool leaderHears{};   // it hears workers by its own links, or does not know yet
+  // The holder of the leader key by a fresh read, a peer that is not heard; empty: nobody, or no
+  // fresh read.
+  std::optional<MemberId> holder;
+  Duration holderUnheard{};  // for how long the holder was not heard while it kept the key
+  Duration keyLife{};        // the longest that a leader key outlives its holder
+  bool loaded{};             // the records have been read
+  Duration contactAge{};     // since the last read of the records
+  Duration trustBound{};     // Platform::trustBound
+  Token known;               // of the newest leader known of
+  Token reported;            // the worker's
+  bool foreignZone{};        // the worker is in another zone than this controller
+  bool isolated{};           // neither state service nor any peer was reached lately
+  std::optional<Duration> sentAwayAgo;  // since this worker was last sent to another node
+  Duration lease{};                     // the workers'
+};
+
+enum class Way {
+  serve,    // this controller leads
+  relay,    // to the leader, whose orders are the answer
+  bare,     // answered without orders: keeps the lease
+  sendTo,   // 421 that names `to`
+  refuse,   // 421 without a name
+};
+
+struct Route {
+  Way way{};
+  std::optional<MemberId> to;
+};
+
+Route routeReport(const ReportView& v);
+
+// Whether a report may be answered without the leader: the copy is young enough that a cancellation
+// it may miss still takes its tasks off in time, and the token is one that the worker accepts.
+bool mayAnswerBare(const ReportView& v);
+
+}  // namespace kestrelhoist
