A relay that failed is tried again; zones' silence is recorded with the windows

Change: what failed is tried again after 3 s. The record of the windows says since when a zone is silent, for a leader that never heard it. The cloud is asked through followers of whose link nothing is known.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -19,6 +19,7 @@
 constexpr Duration kStoreTimeout{1000};
 constexpr Duration kRelayDoubt{3000};  // reports passed on in vain for so long
 constexpr Duration kSweepEvery{30000};
+constexpr Duration kUnknownAfter{10000};
 
 Feed::Settings feedSettings(const Platform& p) {
   Feed::Settings s;
@@ -50,7 +51,8 @@
       cloudWay_(
           runtime, http, mesh_,
           {"cloud", platform.cloudAddress, {"GET", "/machine_types", ""}, 3 * kStoreTimeout},
-          [](const Sighting& s) { return s.cloudAge; }),
+          // Only leaders ask the cloud: of a follower it is mostly not known, and worth a try.
+          [](const Sighting& s) { return s.cloudAge < kUnknownAfter ? s.cloudAge : Duration{0}; }),
       workerLine_(runtime, http, mesh_),
       relay_(runtime, mesh_, platform.member),
       store_(runtime, stateWay_, platform.stateAddress,
--- a/src/app/leader.cpp
+++ b/src/app/leader.cpp
@@ -41,6 +41,15 @@
   rentals_.ending = [this](Duration horizon) { return flows_.ending(horizon); };
   dispatch_.onNews = [this](Machine& m) { facts_.noteFacts(m); };
   if (o_.replica.catalogue()) o_.catalogue = catalogueFrom(*o_.replica.catalogue());
+  const auto& windows = o_.replica.forecast();
+  if (const Json* silent = windows ? field(*windows, "silent") : nullptr; silent) {
+    for (const auto& [zone, at] : silent->items()) {
+      if (!at.is_number_integer()) continue;
+      // The time of day is only about right: this decides when to ask for releases.
+      Duration ago{std::max<std::int64_t>(0, o_.runtime.wallMillis() - at.get<std::int64_t>())};
+      fleet_.zoneSilentSince(ZoneId{zone}, o_.since - ago);
+    }
+  }
   fleet_.adoptRecords(o_.since, o_.runtime.wallMillis());
   fleet_.judge(o_.since, o_.catalogue ? &*o_.catalogue : nullptr, standIn_);
   tick();
--- a/src/cloud/window_duty.cpp
+++ b/src/cloud/window_duty.cpp
@@ -66,7 +66,17 @@
   for (const auto& [type, series] : forecasts_.series) {
     types[type.value] = {{"firm", series.firm.toJson()}, {"flexible", series.flexible.toJson()}};
   }
-  return {{"at", o_.runtime.wallMillis()}, {"types", std::move(types)}};
+  // Since when a zone is silent: a leader that never heard its machines can't know how long their
+  // tasks can run (day `zone`: cut, then the leader ended; 1,712 tasks were over for 25 s before
+  // the next leader gave them up).
+  Instant now = o_.runtime.now();
+  Json silent = Json::object();
+  for (const auto& [zone, at] : fleet_.quietZones(now)) {
+    silent[zone.value] = o_.runtime.wallMillis() - (now - at).count();
+  }
+  return {{"at", o_.runtime.wallMillis()},
+          {"types", std::move(types)},
+          {"silent", std::move(silent)}};
 }
 
 // The windows that an earlier leader left, with the gap since then closed at present demand.
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -217,6 +217,32 @@
   if (Machine* m = find(id)) m->answeredAt = std::max(m->answeredAt.value_or(at), at);
 }
 
+std::map<ZoneId, Instant> Fleet::quietZones(Instant now) const {
+  struct Newest {
+    Instant at;
+    int machines = 0;
+  };
+  std::map<ZoneId, Newest> zones;
+  for (const auto& [id, m] : machines_) {
+    bool working = m.heard() || m.answeredAt;
+    if (!working || m.releaseWanted) continue;
+    auto& zone = zones[m.zone];
+    zone.at = std::max(zone.at, lastSign(m));
+    ++zone.machines;
+  }
+  std::map<ZoneId, Instant> out;
+  for (const auto& [zone, newest] : zones) {
+    // Reports of n machines come every reportEvery / n on average.
+    constexpr int kSeveral = 4;
+    constexpr Duration kLate{1000};
+    if (newest.machines < kSeveral) continue;
+    if (now - newest.at > kSeveral * platform_.reportEvery / newest.machines + kLate) {
+      out[zone] = newest.at;
+    }
+  }
+  return out;
+}
+
 // Of a machine that this leader has not heard: what others told, else what the record of the
 // windows says of its zone, else nothing is known before this leadership.
 Instant Fleet::lastSign(const Machine& m) const {
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -55,6 +55,9 @@
   std::vector<Order> ordersFor(Machine& m, Instant now, bool mayLaunch);
   // A report that came as the answer to a direct command. False if it was not newer.
   bool take(const Report& report, Instant now, bool beat = false);
+  // Zones of which nothing has come for longer than the number of their machines explains, with the
+  // newest sign of any of them.
+  std::map<ZoneId, Instant> quietZones(Instant now) const;
   // What others tell of a machine that this leader has not heard: when it was last answered.
   void answeredElsewhere(const MachineId& id, Instant at);
   // The same of all machines of a zone that an earlier leader found silent since then.
--- a/src/reach/link.hpp
+++ b/src/reach/link.hpp
@@ -33,6 +33,7 @@
     if (!failing_) failures_ = 0;
   }
   void failed(Instant sent) {
+    lastFailed_ = std::max(lastFailed_.value_or(sent), sent);
     // An answer to something sent later has already shown it up.
     if (lastGood_ && sent < *lastGood_) return;
     if (!failing_) failing_ = sent;
@@ -42,6 +43,8 @@
   bool failing() const { return failing_.has_value(); }
   // When the first of what goes unanswered now was sent.
   std::optional<Instant> failingSince() const { return failing_; }
+  // When the newest that went unanswered was sent.
+  std::optional<Instant> lastFailed() const { return lastFailed_; }
   int failures() const { return failures_; }  // in a row
   // When the newest that was answered had been sent.
   std::optional<Instant> lastGood() const { return lastGood_; }
@@ -53,7 +56,7 @@
   }
 
  private:
-  std::optional<Instant> lastGood_, failing_;
+  std::optional<Instant> lastGood_, failing_, lastFailed_;
   int failures_ = 0;
 };
 
--- a/src/reach/relay.cpp
+++ b/src/reach/relay.cpp
@@ -16,6 +16,7 @@
 // machines die all the time.
 constexpr int kSeveral = 3;
 constexpr Duration kTryDirectEvery{5000};
+constexpr Duration kTryAgainAfter{2 * kPatience};
 
 // Encoded items one after the other in an array of no stated length: they need not be decoded.
 std::string arrayOf(const std::deque<std::string>& items) {
@@ -90,6 +91,9 @@
 Duration Relay::failingFor(const MemberId& leader) const {
   auto it = lines_.find(leader);
   if (it == lines_.end() || !it->second.link.failing()) return Duration{0};
+  // What failed some time ago is tried again: nothing is passed while it counts as failing, so
+  // nothing else would ever show that it is back.
+  if (runtime_.now() - *it->second.link.lastFailed() > kTryAgainAfter) return Duration{0};
   return runtime_.now() - *it->second.link.failingSince();
 }
 
