Links in the scenarios: each single link and each pair; silence counts on ways that work

Found by them: a worker that a peer cut off from it asked for was given up; workers on a tour of two hanging nodes were given up for dead; a machine counts as asked in vain only over a way that works; the peer that passed a report on last may itself be cut off; a deposed leader's conflict read its successor's jobs (flow-faults 12).

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -103,9 +103,6 @@
 void Controller::onRecordsChanged() {
   if (members_) members_->onRecordsChanged();
   lastToken_ = std::max(lastToken_, replica_.leaderToken());
-  // One read can bring another's election together with what it has written since. A leader that
-  // was cut off must not take those records for its own (flow-faults: a job of the new leader's whose
-  // inputs were not done in the old one's picture).
   if (leader_ && replica_.leaderToken() != election_.token()) {
     leaveOffice("another leads or the lease ended", false, Duration{0});
   }
--- a/src/app/leader.cpp
+++ b/src/app/leader.cpp
@@ -65,6 +65,8 @@
   }
   if (++ticks_ % kTicksPerJudgement == 0) {
     fleet_.adoptRecords(now, o_.runtime.wallMillis());
+    constexpr Duration kLately{3000};
+    fleet_.setReached(!o_.workersReached || o_.workersReached(now - kLately));
     fleet_.judge(now, o_.catalogue ? &*o_.catalogue : nullptr, standIn_);
     dispatch_.askOverdue();
   }
@@ -84,7 +86,7 @@
 
 // The duties take turns, so that none starves another however much there is of it.
 void Leader::cycle() {
-  if (busy_ || !o_.feed.reachable()) return;
+  if (busy_ || deposed() || !o_.feed.reachable()) return;
   for (std::size_t i = 0; i < turns_.size(); ++i) {
     std::size_t at = (turn_ + i) % turns_.size();
     Turn turn = turns_[at]->next();
@@ -96,7 +98,13 @@
   }
 }
 
+// One read can bring another's election together with what it has written since. A leader that was cut
+// off must not take those records for its own (flow-faults 1 and 12: a job of the new leader's whose
+// inputs were not done in the old one's picture).
+bool Leader::deposed() const { return o_.replica.leaderToken() != o_.token; }
+
 void Leader::changed(bool byOthers) {
+  if (deposed()) return;
   for (Duty* duty : turns_) duty->changed(byOthers);
 }
 
--- a/src/app/leader.hpp
+++ b/src/app/leader.hpp
@@ -26,6 +26,7 @@
   void tick();
   void kick();
   void cycle();
+  bool deposed() const;
   void changed(bool byOthers);
   void commit(Commit commit);
   void send(std::shared_ptr<Commit> commit);
--- a/src/fleet/dispatch.cpp
+++ b/src/fleet/dispatch.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/log.hpp"
+#include "reach/relay.hpp"
 
 namespace kestrelhoist {
 namespace {
@@ -53,6 +54,12 @@
     if (asking_.size() >= kAtOnce) break;
     if (fleet_.overdue(m, now) && !m.address.empty()) ask(m);
   }
+  // Where nothing else shows that workers can be reached from here (their reports come through
+  // peers), one that is on time is asked along with those that are not.
+  if (asking_.empty() || !o_.workersReached || o_.workersReached(now - kAskTimeout)) return;
+  for (auto& [id, m] : fleet_.machines()) {
+    if (fleet_.onTime(m, now) && !m.address.empty() && !asking_.contains(id)) return ask(m);
+  }
 }
 
 // A direct command without orders: shows the worker this leader's token and brings its report.
@@ -66,7 +73,7 @@
   }
   Request request{"POST", "/commands", encodeBody(commandsToJson(o_.token, tenure, {}))};
   o_.http.send(m.address, std::move(request), kAskTimeout,
-               o_.guard([this, id = m.id, asked = o_.runtime.now()](const std::optional<Response>& r) {
+               o_.guard([this, id = m.id](const std::optional<Response>& r) {
                  asking_.erase(id);
                  Machine* machine = fleet_.find(id);
                  if (!machine) return;
@@ -74,9 +81,9 @@
                                                                          : std::nullopt;
                  auto report = body ? reportFrom(*body) : std::nullopt;
                  if (!report || report->machine != id) {
-                   // Silence says nothing of the machine while this controller is the one that is
-                   // cut off from all of them.
-                   if (!o_.workersReached || o_.workersReached(asked)) ++machine->askedInVain;
+                   // Silence says nothing of the machine unless the way to it is known to work:
+                   // this controller, or the peer it asked through, may be the one that is cut off.
+                   if (r && r->status == kNotReached) ++machine->askedInVain;
                    return;
                  }
                  if (!fleet_.take(*report, o_.runtime.now())) return;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -270,7 +270,9 @@
     Instant last = m.heard() ? m.memory.lastHeard
                              : std::max(lastSign(m), since_ + silentAfter() / 2);
     ++(now - last <= due ? zones[m.zone].onTime : zones[m.zone].overdue);
-    if (now - last <= silentAfter()) ++reporting;
+    // On time, not merely within a worker's patience: where hardly any is, the way to all of them
+    // is what fails, and they need a tour of all nodes to be heard again.
+    if (now - last <= due) ++reporting;
   }
   silentZones_.clear();
   for (const auto& [zone, count] : zones) {
@@ -325,6 +327,9 @@
     // silent is most likely cut off and goes on working inside: its tasks run for as long as their
     // leases, which a controller there can keep up until the bound for unknown cancellations.
     Duration patience = silentAfter();
+    if (!reached_ && platform_.nodes() > 2) {
+      patience += static_cast<int>(platform_.nodes() - 2) * (kWorkerGivesUp + kWorkerNextNode);
+    }
     if (silentZones_.contains(m.zone) || reporting == 0) {
       Duration inside = platform_.workerLease + Duration{1000};
       if (standIn(m.zone)) inside += platform_.trustBound();
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -93,6 +93,13 @@
   // `standIn` tells whether a controller in that zone may be answering its workers unseen.
   void judge(Instant now, const Catalogue* catalogue,
              const std::function<bool(const ZoneId&)>& standIn);
+  // Whether this controller's own way to the workers is known to work. Where it is not, a silent
+  // worker may be on a tour of several nodes that hang.
+  void setReached(bool reached) { reached_ = reached; }
+  // Whether its report is not yet due.
+  bool onTime(const Machine& m, Instant now) const {
+    return m.heard() && now - m.memory.lastHeard <= reportDue();
+  }
   // The newest sign of any worker.
   Instant lastHeardAny() const { return lastHeardAny_; }
   bool faulty(const Machine& m) const { return m.failedJobs.size() >= 2; }
@@ -118,6 +125,7 @@
   std::set<ZoneId> silentZones_;
   std::map<ZoneId, Instant> zoneSilentAt_;  // when last
   std::map<ZoneId, Instant> silentBefore_;  // since when, as an earlier leader recorded it
+  bool reached_ = true;
   std::size_t heardCount_ = 0;
   const Catalogue* catalogue_ = nullptr;
 };
--- a/src/leadership/mesh.hpp
+++ b/src/leadership/mesh.hpp
@@ -10,6 +10,9 @@
 
 namespace kestrelhoist {
 
+// A peer's answer in the name of a service or worker that it asked in vain; none of them gives it.
+inline constexpr int kNotReached = 502;
+
 struct Sighting {
   MemberId member;
   Token token;  // highest known
--- a/src/reach/detour.cpp
+++ b/src/reach/detour.cpp
@@ -9,7 +9,6 @@
 constexpr Duration kUnderWay{300};
 constexpr Duration kBlock{2000};
 constexpr Duration kServeTimeout{2500};
-constexpr int kNotReached = 502;  // no service of the region answers this
 }  // namespace
 
 std::optional<MemberId> detourPeer(const DetourView& view) {
--- a/src/reach/relay.cpp
+++ b/src/reach/relay.cpp
@@ -11,11 +11,10 @@
 constexpr int kInFlight = 2;
 constexpr std::size_t kMostReports = 64;
 constexpr std::size_t kMostBytes = 48 * 1024;  // a body may have 64 KiB
-constexpr int kNotReached = 502;
 // Direct commands that fail in a row before the link to the workers counts as failing: single
 // machines die all the time.
 constexpr int kSeveral = 3;
-constexpr Duration kTryDirectEvery{5000};
+constexpr Duration kProbeEvery{2000};
 constexpr Duration kTryAgainAfter{2 * kPatience};
 
 // Encoded items one after the other in an array of no stated length: they need not be decoded.
@@ -25,6 +24,7 @@
   out += '\xff';
   return out;
 }
+Response notReached() { return {kNotReached, encodeBody(Json::object())}; }
 }  // namespace
 
 void Relay::pass(const MemberId& leader, std::string report, OnReply done) {
@@ -119,52 +119,72 @@
 }
 
 bool WorkerLine::reachedSince(Instant sent) const {
-  return (link_.lastGood() && *link_.lastGood() >= sent) || throughPeer_ >= sent;
+  return (link_.lastGood() && *link_.lastGood() >= sent) ||
+         std::any_of(throughPeer_.begin(), throughPeer_.end(),
+                     [&](const auto& p) { return p.second >= sent; });
 }
 
-std::optional<MemberId> WorkerLine::peerWithWorkers() const {
+// Who passed on the worker's last report; who heard any worker last; one that heard none may still
+// reach them. Last of all those that failed a moment ago.
+std::optional<MemberId> WorkerLine::peerFor(const std::string& address) const {
+  std::optional<MemberId> best;
+  std::tuple<bool, bool, Duration> bestRank{};
+  Instant now = runtime_.now();
+  auto via = via_.find(address);
   for (const auto& [member, seen] : mesh_.sightings()) {
     const auto& [sighting, heardAt] = seen;
-    Duration age = runtime_.now() - heardAt;
-    if (sighting.relays && age < kPatience && sighting.workersAge + age < kTryDirectEvery) {
-      return member;
+    if (!sighting.relays || now - heardAt >= kPatience) continue;
+    auto failed = failedThrough_.find(member);
+    bool doubtful = failed != failedThrough_.end() && now - failed->second < kTryAgainAfter;
+    std::tuple rank{doubtful, via == via_.end() || via->second != member, sighting.workersAge};
+    if (!best || rank < bestRank) {
+      best = member;
+      bestRank = rank;
     }
   }
-  return std::nullopt;
+  return best;
 }
 
 void WorkerLine::send(const std::string& address, Request request, Duration timeout, OnReply done) {
   Instant now = runtime_.now();
   std::optional<MemberId> through;
   if (link_.failures() >= kSeveral) {
-    if (now - probedAt_ >= kTryDirectEvery) {
-      probedAt_ = now;
-    } else if (auto via = via_.find(address); via != via_.end()) {
-      through = via->second;
-    } else {
-      through = peerWithWorkers();
-    }
+    through = peerFor(address);
   }
   if (!through) {
     return http_.send(address, std::move(request), timeout,
                       [this, now, done = std::move(done)](std::optional<Response> r) {
                         r ? link_.answered(now) : link_.failed(now);
-                        done(std::move(r));
+                        bool works = link_.lastGood() && *link_.lastGood() >= now;
+                        done(r || !works ? std::move(r) : std::optional(notReached()));
                       });
   }
+  if (now - probedAt_ >= kProbeEvery) {
+    // Only a question: a command sent on both ways might be carried out late on one of them, after
+    // the answer on the other has settled it.
+    probedAt_ = now;
+    http_.send(address, {"GET", "/inspect", ""}, kPatience,
+               [this, now](const std::optional<Response>& r) {
+                 if (r) link_.answered(now);
+               });
+  }
   request.path = "/mesh/worker/" + address + request.path;
   mesh_.send(*through, std::move(request), timeout,
-             [this, now, done = std::move(done)](std::optional<Response> r) {
-               if (r && r->status == kNotReached) r.reset();
-               if (r) throughPeer_ = std::max(throughPeer_, now);
-               done(std::move(r));
+             [this, now, through = *through, done = std::move(done)](std::optional<Response> r) {
+               Instant& good = throughPeer_[through];
+               if (r && r->status != kNotReached) {
+                 good = std::max(good, now);
+                 return done(std::move(r));
+               }
+               if (good < now) failedThrough_[through] = now;
+               done(good < now ? std::nullopt : std::optional(notReached()));
              });
 }
 
 void WorkerLine::serve(const std::string& address, const Request& request, const Respond& respond) {
   constexpr Duration kTimeout{2500};
   http_.send(address, request, kTimeout, [respond](std::optional<Response> r) {
-    respond(r ? std::move(*r) : Response{kNotReached, encodeBody(Json::object())});
+    respond(r ? std::move(*r) : notReached());
   });
 }
 
--- a/src/reach/relay.hpp
+++ b/src/reach/relay.hpp
@@ -54,6 +54,7 @@
   WorkerLine(Runtime& runtime, HttpClient& http, Mesh& mesh)
       : runtime_(runtime), http_(http), mesh_(mesh) {}
 
+  // No answer: not known why. kNotReached: others were reached the same way by what was sent since.
   void send(const std::string& address, Request request, Duration timeout, OnReply done) override;
   // A report came from this worker: directly, or through `via`.
   void heard(const std::string& address, const std::optional<MemberId>& via);
@@ -68,9 +69,10 @@
   HttpClient& http_;
   Mesh& mesh_;
   Link link_;
-  std::optional<MemberId> peerWithWorkers() const;
+  std::optional<MemberId> peerFor(const std::string& address) const;
   Instant probedAt_{};
-  Instant throughPeer_{};  // when what a worker answered through a peer last had been sent
+  std::map<MemberId, Instant> throughPeer_;  // when what was answered through it had been sent
+  std::map<MemberId, Instant> failedThrough_;
   std::map<std::string, MemberId> via_;  // by the worker's address
 };
 
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -36,7 +36,7 @@
   void run() {
     for (const auto& line : lines_) {
       SCOPED_TRACE(line.where());
-      if (line.words[0] == "seeds") continue;
+      if (line.words[0] == "seeds" || line.words[0] == "each") continue;
       if (line.words[0] == "world") {
         configure(line);
         continue;
@@ -83,7 +83,9 @@
   }
 
   CutMode mode(const std::string& word) {
-    return word == "hold" ? CutMode::hold : word == "reset" ? CutMode::reset : CutMode::drop;
+    if (word == "reset" || word == "refuse") return CutMode::reset;
+    if (word == "slow") return CutMode::slow;
+    return word == "drop" ? CutMode::drop : CutMode::hold;
   }
 
   std::set<std::string> group(const std::string& word) {
@@ -97,12 +99,33 @@
         out.insert(name);
       }
     }
+    if (word == "users") out.insert("users");
+    if (word.starts_with("zone-")) {
+      for (const auto& [host, worker] : world_->workers) {
+        if (worker->zone == word.substr(5)) out.insert(host);
+      }
+    }
     if (word == "peers") {
       for (int i = 0; i < settings_.nodes; ++i) out.insert("node" + std::to_string(i));
     }
     return out;  // "all": empty
   }
 
+  // "leader", "other" (the next after it), "third" or a number.
+  int nodeOf(const std::string& word) {
+    int leader = world_->nodeFrom("leader");
+    if (word == "other") return (leader + 1) % settings_.nodes;
+    if (word == "third") return (leader + 2) % settings_.nodes;
+    return world_->nodeFrom(word);
+  }
+
+  // link NODE to GROUP up|hold|drop|reset|refuse|slow|in|out SECONDS; in, out: only this way is held.
+  void link(int node, const std::string& to, const std::string& how, std::int64_t ms) {
+    if (how == "up") return;
+    CutWay way = how == "in" ? CutWay::in : how == "out" ? CutWay::out : CutWay::both;
+    world_->network.cut("node" + std::to_string(node), group(to), mode(how), ms, way);
+  }
+
   // The zone of this controller, from everything outside.
   void cutZone(int node, CutMode how, std::int64_t ms) {
     const auto& zones = settings_.zones;
@@ -156,6 +179,10 @@
           job.spot = value == "yes";
         else if (key == "checkpoint")
           job.checkpointS = std::stod(value);
+        else if (key == "class")
+          job.jobClass = value;
+        else if (key == "team")
+          job.team = value;
         else
           FAIL() << "unknown option " << key;
       }
@@ -187,6 +214,25 @@
     } else if (verb == "cut") {  // cut NODE from GROUP MODE SECONDS
       w.network.cut("node" + std::to_string(w.nodeFrom(words.at(1))), group(words.at(3)),
                     mode(words.at(4)), ms(words.at(5)));
+    } else if (verb == "link") {
+      ASSERT_EQ(words.at(2), "to");
+      link(nodeOf(words.at(1)), words.at(3), words.at(4), ms(words.at(5)));
+    } else if (verb == "flap") {  // flap NODE to GROUP MODE EVERY DOWN TIMES: who it is then
+      for (int i = 0; i < std::stoi(words.at(7)); ++i) {
+        w.clock.in(i * ms(words.at(5)), [this, words, ms] {
+          link(nodeOf(words.at(1)), words.at(3), words.at(4), ms(words.at(6)));
+        });
+      }
+    } else if (verb == "freeze") {  // freeze NODE SECONDS
+      w.freeze(nodeOf(words.at(1)), ms(words.at(2)));
+    } else if (verb == "trouble") {  // trouble crash|freeze|slow NODE SECONDS
+      int node = nodeOf(words.at(2));
+      if (words.at(1) == "crash") w.crash(node, ms(words.at(3)));
+      if (words.at(1) == "freeze") w.freeze(node, ms(words.at(3)));
+      if (words.at(1) == "slow") link(node, "peers", "slow", ms(words.at(3)));
+    } else if (verb == "watch") {  // watch ID: for `expect fewest`
+      w.watch(words.at(1));
+      officesBefore_ = w.offices;
     } else if (verb == "cutzone") {  // cutzone leader|other MODE SECONDS: from everything outside
       int node = w.nodeFrom("leader");
       if (words.at(1) == "other") node = (node + 1) % settings_.nodes;
@@ -232,6 +278,12 @@
       EXPECT_EQ(w.phaseOf(words.at(2)), words.at(3));
     } else if (what == "replicas") {
       EXPECT_EQ(w.runningReplicas(words.at(2)), std::stoi(words.at(3)));
+    } else if (what == "fewest") {  // expect fewest ID N: replicas at any moment since `watch`
+      EXPECT_GE(w.fewest(words.at(2)), std::stoi(words.at(3)));
+    } else if (what == "offices") {  // expect offices most N: begun since `watch`
+      EXPECT_LE(w.offices - officesBefore_, std::stoi(words.at(3)));
+    } else if (what == "served") {  // expect served least SHARE, of every class and team
+      w.expectServed(std::stod(words.at(3)));
     } else if (what == "leader") {
       EXPECT_GE(w.leaderNode(), 0);
     } else if (what == "machines") {  // expect machines spot|ordinary most|least N
@@ -414,12 +466,14 @@
   std::unique_ptr<World> world_;
   std::vector<std::string> submitted_;
   int nextJob_ = 500000;
+  int officesBefore_ = 0;
   std::map<std::string, FlowPlanSpec> flows_;
 };
 
 struct Case {
   std::string name, file;
   std::uint64_t seed{};
+  std::map<std::string, std::string> chosen;  // of the lines `each`
 };
 
 void PrintTo(const Case& c, std::ostream* out) { *out << c.name; }
@@ -458,11 +512,26 @@
         seeds.push_back(s);
       }
     }
-    for (auto s : seeds) {
-      std::string name = f.stem().string();
-      std::replace(name.begin(), name.end(), '-', '_');
-      if (seeds.size() > 1) name += "_" + std::to_string(s);
-      out.push_back({name, f.string(), s});
+    // Every combination of what the lines `each NAME VALUE ...` offer.
+    std::vector<std::pair<std::string, std::map<std::string, std::string>>> choices{{"", {}}};
+    for (const auto& line : linesOf(f)) {
+      if (line.words[0] != "each") continue;
+      auto before = std::exchange(choices, {});
+      for (const auto& [name, chosen] : before) {
+        for (std::size_t i = 2; i < line.words.size(); ++i) {
+          auto more = chosen;
+          more[line.words[1]] = line.words[i];
+          choices.emplace_back(name + "_" + line.words[i], std::move(more));
+        }
+      }
+    }
+    for (const auto& [suffix, chosen] : choices) {
+      for (auto s : seeds) {
+        std::string name = f.stem().string() + suffix;
+        std::replace(name.begin(), name.end(), '-', '_');
+        if (seeds.size() > 1) name += "_" + std::to_string(s);
+        out.push_back({name, f.string(), s, chosen});
+      }
     }
   }
   return out;
@@ -473,7 +542,16 @@
 TEST_P(ScenarioTest, KeepsTheRules) {
   const char* level = std::getenv("LOG_LEVEL");
   if (!level) spdlog::set_level(spdlog::level::off);
-  Scenario(linesOf(GetParam().file), GetParam().seed).run();
+  auto lines = linesOf(GetParam().file);
+  for (auto& line : lines) {
+    for (auto& word : line.words) {
+      if (word[0] != '$') continue;
+      auto it = GetParam().chosen.find(word.substr(1));
+      ASSERT_NE(it, GetParam().chosen.end()) << line.where() << ": " << word;
+      word = it->second;
+    }
+  }
+  Scenario(std::move(lines), GetParam().seed).run();
 }
 
 INSTANTIATE_TEST_SUITE_P(Scenarios, ScenarioTest, testing::ValuesIn(cases()),
--- a/tests/sim/virtual_time.hpp
+++ b/tests/sim/virtual_time.hpp
@@ -39,7 +39,10 @@
   std::uint64_t next_ = 0;
 };
 
-enum class CutMode { hold, drop, reset };
+// slow: messages take a second and a half longer.
+enum class CutMode { hold, drop, reset, slow };
+// Which way a cut works, seen from its host.
+enum class CutWay { both, in, out };
 
 // Hosts by name; an address is "host:port". A cut separates two groups of hosts.
 class Network : public region::Wire {
@@ -55,12 +58,12 @@
 
   // Cuts host from every host in `others` (all if empty) for `ms`.
   void cut(const std::string& host, const std::set<std::string>& others, CutMode mode,
-           std::int64_t ms) {
-    cuts_.push_back({host, others, {}, mode, clock_.now() + ms});
+           std::int64_t ms, CutWay way = CutWay::both) {
+    cuts_.push_back({host, others, {}, mode, clock_.now() + ms, way});
   }
   // Between these hosts and all others.
   void cutOff(const std::set<std::string>& inside, CutMode mode, std::int64_t ms) {
-    cuts_.push_back({"", {}, inside, mode, clock_.now() + ms});
+    cuts_.push_back({"", {}, inside, mode, clock_.now() + ms, CutWay::both});
   }
   double lossOfAnswers = 0;  // share of requests whose answer is lost
   double lateRequests = 0;   // share that arrives up to two minutes late
@@ -100,6 +103,7 @@
     std::set<std::string> inside;
     CutMode mode;
     std::int64_t until;
+    CutWay way;
   };
   std::int64_t latency() { return std::uniform_int_distribution<std::int64_t>(1, 4)(random_); }
   bool chance(double p) { return p > 0 && std::bernoulli_distribution(p)(random_); }
@@ -110,7 +114,8 @@
       auto hits = [&](const std::string& x, const std::string& y) {
         return c.host == x && (c.others.empty() || c.others.contains(y));
       };
-      if (hits(a, b) || hits(b, a) || c.inside.contains(a) != c.inside.contains(b)) return &c;
+      bool out = c.way != CutWay::in && hits(a, b), in = c.way != CutWay::out && hits(b, a);
+      if (out || in || c.inside.contains(a) != c.inside.contains(b)) return &c;
     }
     return nullptr;
   }
@@ -122,6 +127,7 @@
       if (const Cut* c = cutBetween(from, to)) {
         if (c->mode == CutMode::reset) return arrive(true);
         if (c->mode == CutMode::drop) return;
+        if (c->mode == CutMode::slow) return clock_.in(1500, [arrive] { arrive(false); });
         clock_.at(c->until + latency(), [this, from, to, arrive] { travel(from, to, 0, arrive); });
         return;
       }
@@ -146,15 +152,23 @@
     return {static_cast<std::int64_t>(static_cast<double>(clock_.now()) * rate_)};
   }
   std::int64_t wallMillis() override { return 1700000000000 + clock_.now(); }
+  // Stands still: timers, answers and what `whenAwake` is given wait; its clock runs on.
+  void freeze(std::int64_t ms) { frozenUntil_ = clock_.now() + ms; }
+  void whenAwake(std::function<void()> f) {
+    if (clock_.now() >= frozenUntil_) return f();
+    clock_.at(frozenUntil_, guard([this, f = std::move(f)] { whenAwake(f); }));
+  }
   void after(Duration delay, std::function<void()> f) override {
     auto real = static_cast<std::int64_t>(static_cast<double>(delay.count()) / rate_ + 0.999);
-    clock_.in(std::max<std::int64_t>(real, 0), guard(std::move(f)));
+    clock_.in(std::max<std::int64_t>(real, 0),
+              guard([this, f = std::move(f)]() mutable { whenAwake(std::move(f)); }));
   }
   void send(const std::string& address, Request request, Duration timeout,
             OnReply onReply) override {
     network_.send(host_, address, std::move(request), timeout.count(),
-                  [alive = std::weak_ptr<int>(alive_), onReply](std::optional<Response> r) {
-                    if (!alive.expired()) onReply(std::move(r));
+                  [this, alive = std::weak_ptr<int>(alive_), onReply](std::optional<Response> r) {
+                    if (alive.expired()) return;
+                    whenAwake([onReply, r = std::move(r)] { onReply(r); });
                   });
   }
 
@@ -168,6 +182,7 @@
   Network& network_;
   std::string host_;
   double rate_;
+  std::int64_t frozenUntil_ = 0;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -82,7 +82,7 @@
     Team team;
     team.limit.gpus = settings.gpusMax;
     p.teams[TeamId{"team"}] = team;
-    if (settings.members) p.teams[TeamId{"rival"}] = team;
+    p.teams[TeamId{"rival"}] = team;
     p.reportEvery = fromSeconds(settings.reportS);
     p.workerLease = fromSeconds(settings.leaseS);
     p.cancelWithin = fromSeconds(settings.cancelS);
@@ -107,6 +107,7 @@
   clock.in(500, watch);
   pollUnknown();
   watchLeader();
+  watchService();
 }
 
 World::~World() {
@@ -134,13 +135,54 @@
       std::make_unique<Controller>(*n.runtime, *n.runtime, *n.planner, n.platform,
                                    n.operatorSettings, host + "-" + std::to_string(n.lives));
   auto* c = n.controller.get();
+  auto* runtime = n.runtime.get();
   network.listen(host + ":80",
-                 [c](const std::string&, const Request& q, const Respond& r) { c->onApi(q, r); });
+                 [c, runtime](const std::string&, const Request& q, const Respond& r) {
+                   runtime->whenAwake([c, q, r] { c->onApi(q, r); });
+                 });
   network.listen(host + ":81",
-                 [c](const std::string&, const Request& q, const Respond& r) { c->onMesh(q, r); });
+                 [c, runtime](const std::string&, const Request& q, const Respond& r) {
+                   runtime->whenAwake([c, q, r] { c->onMesh(q, r); });
+                 });
   c->start();
 }
 
+void World::freeze(int i, std::int64_t forMs) {
+  if (auto& runtime = nodes_[static_cast<std::size_t>(i)].runtime) runtime->freeze(forMs);
+}
+
+// What is served, five times a second: by class and by team.
+void World::watchService() {
+  clock.in(200, [this] { watchService(); });
+  constexpr std::int64_t kGrace = 60000;
+  for (auto& [id, least] : watched_) least = std::min(least, runningReplicas(id));
+  for (const auto& [id, j] : users_) {
+    if (!j.accepted || j.abortAsked || clock.now() - j.acceptedAt < kGrace) continue;
+    Served share;
+    if (j.plan.shape == "daemon") {
+      share = {static_cast<double>(runningReplicas(id)), static_cast<double>(j.plan.tasks)};
+    } else if (clock.now() - j.acceptedAt < kGrace + ms(3 * j.plan.runS)) {
+      continue;
+    } else {
+      double done = 0;
+      for (int i = 0; i < j.plan.tasks; ++i) done += results.contains({id, i}) ? 1 : 0;
+      share = {done, static_cast<double>(j.plan.tasks)};
+    }
+    for (auto* sum : {&served_["class " + j.plan.jobClass], &served_["team " + j.plan.team]}) {
+      sum->got += share.got;
+      sum->due += share.due;
+    }
+  }
+}
+
+void World::expectServed(double least) {
+  for (const auto& [what, s] : served_) {
+    if (s.due > 0 && s.got < least * s.due) {
+      fail("underserved", what + ": " + std::to_string(s.got / s.due));
+    }
+  }
+}
+
 void World::crash(int i, std::int64_t downMs) {
   Node& n = nodes_[static_cast<std::size_t>(i)];
   if (!n.controller) return;
@@ -244,8 +286,8 @@
 
 Json World::spec(const JobPlan& p) const {
   Json v = {{"ref", p.id},
-            {"lane", "any"},
-            {"owner", "team"},
+            {"lane", p.jobClass},
+            {"owner", p.team},
             {"shape", p.shape},
             {"rank", p.rank},
             {"shards", p.tasks},
@@ -288,6 +330,7 @@
                  note(id, *r, askedAt);
                  if (!j.accepted) {
                    j.accepted = true;
+                   j.acceptedAt = clock.now();
                    poll(id);
                    // A retry may come at any later time.
                    clock.in(20000 + static_cast<std::int64_t>(random() % 60000),
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -45,6 +45,7 @@
   double checkpointS = 0;
   std::string rank = "best_effort";
   std::string zone;
+  std::string jobClass = "any", team = "team";
 };
 
 using region::Worker;
@@ -59,7 +60,15 @@
   void expectJob(const JobPlan& job) { users_[job.id].plan = job; }
   void abort(const std::string& id);
   void crash(int node, std::int64_t downMs = 4000);
-  int leaderNode() const;  // -1: none
+  void freeze(int node, std::int64_t forMs);  // stands still, its clocks run on
+  int leaderNode() const;                     // -1: none
+  // From now on the fewest replicas of this service that ran at a time are remembered.
+  void watch(const std::string& id) { watched_[id] = runningReplicas(id); }
+  int fewest(const std::string& id) const { return watched_.at(id); }
+  // Breaks `underserved` if a class or a team got less than this share of what it should have:
+  // replica time of its services, tasks of its arrays that had time to end.
+  void expectServed(double least);
+  int offices = 0;  // how many leaderships there have been
   // "leader" or a number.
   int nodeFrom(const std::string& word) const;
   std::vector<std::string> machinesWithTasks() const { return region.machinesWithTasks(); }
@@ -133,7 +142,7 @@
     bool accepted = false;
     std::string told;  // done or withdrawn, once told
     std::string last;
-    std::int64_t toldAt = 0;
+    std::int64_t toldAt = 0, acceptedAt = 0;
     std::int64_t cancelledToldAt = -1;
     bool abortAsked = false;
   };
@@ -148,6 +157,12 @@
   void fail(const std::string& rule, const std::string& what);
   Json spec(const JobPlan& p) const;
 
+  struct Served {
+    double got{}, due{};
+  };
+  void watchService();
+  std::map<std::string, Served> served_;  // "class x", "team y"
+  std::map<std::string, int> watched_;
   std::vector<Node> nodes_;
   std::map<std::string, UserJob> users_;
 
