--- a/src/fleet/reconcile_test.cpp
+++ b/src/fleet/reconcile_test.cpp
@@ -55,6 +55,26 @@
   EXPECT_TRUE(gone());
 }
 
+// The answer with the launch may be held on its way for 4 s, in a relay or by a cut, while a direct
+// command is answered: absence from that answer proved the task gone, and it ran twice.
+TEST_F(Fixture, AbsenceFromADirectAnswerThatMayOvertakeTheLaunchProvesNothing) {
+  hear(report(2, 1, 5));
+  stop = true;
+  auto direct = [&](const Report& r) {
+    takeReport(memory, r, Instant{0}, false);
+    reconcile(memory, &record, Token{5}, false, [&](const AttemptId&) {
+      return Wish{stop, Duration{0}};
+    });
+  };
+  direct(report(2, 2, 5));
+  EXPECT_FALSE(gone());
+  // The worker's next report shows that it has given that answer up.
+  direct(report(2, 4, 5));
+  EXPECT_FALSE(gone());
+  hear(report(2, 3, 5));  // late, after a newer answer without the task
+  EXPECT_TRUE(gone());
+}
+
 TEST_F(Fixture, ALateDirectLaunchIsMadeHarmlessBeforeTheTaskIsGivenUp) {
   memory.tainted.insert(kTask);
   stop = true;
