--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -10,24 +10,19 @@
 constexpr Duration kFollowerRead{500};
 constexpr Duration kLeaderRead{250};
 constexpr Duration kMeshEvery{500};
-constexpr Duration kMeshHeard{2000};
-constexpr Duration kStoreSilent{2000};
-constexpr Duration kStandInAfter{1500};
 constexpr Duration kForwardTimeout{1800};
-constexpr Duration kLeaseLife{3000};
 constexpr Duration kLeaseRenew{700};
 constexpr Duration kStoreTimeout{1000};
-constexpr Duration kRelayDoubt{3000};  // reports passed on in vain for so long
 constexpr Duration kSweepEvery{30000};
 constexpr Duration kUnknownAfter{10000};
 
-Feed::Settings feedSettings(const Platform& p) {
+Feed::Settings feedSettings(const Platform& p, Duration staleAfter) {
   Feed::Settings s;
   // Reads of all nodes together take at most about half of the state service's rate.
   double gapS = static_cast<double>(p.nodes()) / (0.5 * p.stateRequestsPerS);
   s.minGap = std::max(Duration{10}, fromSeconds(gapS));
   s.timeout = kStoreTimeout;
-  s.staleAfter = kStoreSilent;
+  s.staleAfter = staleAfter;
   return s;
 }
 
@@ -58,16 +53,16 @@
       store_(runtime, stateWay_, platform.stateAddress,
              platform.stateRequestsPerS / static_cast<double>(platform.nodes())),
       cloud_(runtime, cloudWay_, platform.cloudAddress, platform.cloudRequestsPerS * 0.9),
-      feed_(runtime, store_, replica_, feedSettings(platform)),
+      feed_(runtime, store_, replica_, feedSettings(platform, kStoreSilent)),
       jobs_(runtime, store_, feed_, replica_, platform),
       flows_(runtime, store_, feed_, replica_, platform, settings,
              [this] { return jobs_.catalogue(); }),
       election_({platform.member, boot, kLeaseLife, kLeaseRenew}) {
   if (!settings.members.enabled) return;
   metrics_ = std::make_unique<Metrics>();
-  members_ =
-      std::make_unique<MemberService>(runtime, store_, feed_, replica_, platform, settings.members,
-                                      jobs_, flows_, metrics_.get(), std::hash<std::string>{}(boot));
+  members_ = std::make_unique<MemberService>(runtime, store_, feed_, replica_, platform,
+                                             settings.members, jobs_, flows_, metrics_.get(),
+                                             std::hash<std::string>{}(boot));
   store_.onCommitted = [this](Outcome o) { metrics_->committed(wordOf(o), leads()); };
   metrics_->gauges = [this] {
     MetricGauges g;
@@ -124,6 +119,7 @@
   if (now - sweptAt_ > kSweepEvery) {
     sweptAt_ = now;
     answered_.sweep(now);
+    workerLine_.sweep();
     std::erase_if(sentAway_, [&](const auto& e) { return now - e.second > kSweepEvery; });
   }
   runElection();
@@ -199,27 +195,12 @@
       return std::any_of(platform_.peers.begin(), platform_.peers.end(),
                          [&](const Peer& p) { return p.zone == zone && mesh_.mayLive(p.member); });
     });
-    for (const auto& [machine, at] : answered_.all()) leader_->fleet().answeredElsewhere(machine, at);
+    for (const auto& [machine, at] : answered_.all())
+      leader_->fleet().answeredElsewhere(machine, at);
     askPeersForAnswered();
   });
 }
 
-// A worker that nobody answers any more is known by when it was answered last: else a new leader
-// counts its silence from its own first moment, and its tasks are long over before it is given up.
-void Controller::askPeersForAnswered() {
-  for (const auto& peer : platform_.peers) {
-    mesh_.send(peer.member, {"POST", "/mesh/answered", encodeBody(Json::object())}, Duration{2000},
-               [this, token = election_.token()](const std::optional<Response>& r) {
-                 if (!leader_ || leader_->token() != token || !r || r->status != 200) return;
-                 auto body = decodeBody(r->body);
-                 if (!body) return;
-                 for (const auto& [machine, at] : Answered::from(*body, runtime_.now())) {
-                   leader_->fleet().answeredElsewhere(machine, at);
-                 }
-               });
-  }
-}
-
 void Controller::leaveOffice(const std::string& why, bool dropLease, Duration holdBack) {
   logInfo("no longer leading", "token", election_.token(), "why", why);
   lastToken_ = std::max(lastToken_, election_.token());
@@ -301,112 +282,6 @@
   return leader_ ? leader_->fleet().heardCount() : 0;
 }
 
-ReportView Controller::reportView(const Report& report) const {
-  ReportView v;
-  v.now = runtime_.now();
-  v.leads = leader_ && election_.leads();
-  v.keyLife = kLeaseLife;
-  v.loaded = feed_.loaded();
-  v.contactAge = feed_.contactAge();
-  v.trustBound = platform_.trustBound();
-  v.known = lastToken_;
-  v.reported = report.token;
-  v.foreignZone = report.zone != platform_.zone;
-  v.lease = platform_.workerLease;
-  if (auto away = sentAway_.find(report.machine); away != sentAway_.end()) {
-    v.sentAwayAgo = v.now - away->second;
-  }
-  Token newest;
-  bool anyPeer = false;
-  for (const auto& peer : platform_.peers) {
-    const auto* seen = mesh_.heard(peer.member, kMeshHeard);
-    anyPeer = anyPeer || seen;
-    if (!seen || !seen->leading || seen->token < newest) continue;
-    newest = seen->token;
-    v.leader = peer.member;
-    v.leaderRelays = seen->relays && relay_.failingFor(peer.member) < kRelayDoubt;
-    v.leaderHears = !seen->deaf;
-  }
-  v.isolated = !anyPeer && v.contactAge >= kStandInAfter;
-  if (!v.leader && v.contactAge < kStandInAfter && replica_.leader() &&
-      replica_.leader()->member != platform_.member && holderUnheardSince_) {
-    v.holder = replica_.leader()->member;
-    v.holderUnheard = v.now - *holderUnheardSince_;
-  }
-  return v;
-}
-
-// A worker keeps its lease while no leader can be asked, under the token that it and this controller
-// know. Nothing is launched or cleared, and nothing is proven by it. Tasks of jobs that are known to
-// be over are stopped: whoever keeps leases up must not keep up what was cancelled.
-Response Controller::bareAnswer(const Report& report) const {
-  std::vector<Order> orders;
-  for (const auto& task : report.tasks) {
-    const auto* job = replica_.job(task.id.task.job);
-    if (task.state != TaskState::ended && job && !job->active()) {
-      orders.push_back({Order::Kind::stop, task.id, Duration{0}});
-    }
-  }
-  return jsonResponse(200, ordersToJson(lastToken_, orders));
-}
-
-Response Controller::sendAway(const Report& report, const std::optional<MemberId>& to) {
-  sentAway_[report.machine] = runtime_.now();
-  Json body = Json::object();
-  if (to) body["steward"] = to->value;
-  return jsonResponse(421, body);
-}
-
-void Controller::onBeat(const Request& request, const Respond& respond) {
-  auto body = decodeBody(request.body);
-  auto report = body ? reportFrom(*body) : std::nullopt;
-  if (!report) return respond(jsonResponse(400, {{"error", "not a report"}}));
-  Instant came = lastWorker_ = runtime_.now();
-  auto answer = [this, came, machine = report->machine, respond](Response r) {
-    if (r.status == 200) answered_.note(machine, came);
-    respond(std::move(r));
-  };
-  auto go = [this, answer](const Report& report, const Route& route) {
-    switch (route.way) {
-      case Way::bare:
-        return answer(bareAnswer(report));
-      case Way::sendTo:
-      case Way::refuse:
-      default:
-        return answer(sendAway(report, route.to));
-    }
-  };
-  Route route = routeReport(reportView(*report));
-  if (route.way == Way::serve) return answer(serveReport(*report, std::nullopt));
-  if (route.way != Way::relay) return go(*report, route);
-  relay_.pass(*route.to, request.body, [this, answer, go, report = *report](
-                                           const std::optional<Response>& r) {
-    if (r) return answer(*r);
-    // Asked in vain: as if the leader were not there.
-    ReportView v = reportView(report);
-    if (v.leads) return answer(serveReport(report, std::nullopt));
-    v.leader.reset();
-    go(report, routeReport(v));
-  });
-}
-
-Response Controller::serveReport(const Report& report, const std::optional<MemberId>& via) {
-  auto away = [] { return jsonResponse(421, Json::object()); };
-  if (!leader_ || !election_.leads()) return away();
-  if (feed_.contactAge() > platform_.trustBound()) {
-    // A node that hung finds reports waiting before its timers: the bound holds for each answer.
-    leaveOffice("no contact with the state service for too long", false, Duration{1000});
-    return away();
-  }
-  if (report.token > election_.token()) {
-    leaveOffice("machine " + report.machine.value + " has seen a higher token", false,
-                Duration{500});
-    return away();
-  }
-  workerLine_.heard(report.address, via);
-  return leader_->onReport(report, feed_.contactAge() < kStoreSilent);
-}
-
 Response Controller::ready() {
   bool serves = feed_.loaded() && jobs_.catalogue();
   // A common outage must not take all nodes out of the balancer; a node that alone lost the
@@ -451,43 +326,6 @@
   if (!answerUser(request, respond, true)) respond(jsonResponse(404, {{"error", "no such path"}}));
 }
 
-// What peers ask whose own links fail.
-bool Controller::onMeshService(const Request& request, const Respond& respond) {
-  auto below = [&](const std::string& prefix) -> std::optional<Request> {
-    if (!request.path.starts_with(prefix + "/")) return std::nullopt;
-    Request inner = request;
-    inner.path = request.path.substr(prefix.size());
-    return inner;
-  };
-  if (auto reports = below("/mesh/reports")) {
-    if (!leader_ || !election_.leads()) {
-      respond(jsonResponse(409, {{"error", "does not lead"}}));
-      return true;
-    }
-    MemberId via{reports->path.substr(1)};
-    respond(answerBatch(request, [&](const Json& item) {
-      auto report = reportFrom(item);
-      if (!report) return jsonResponse(400, {{"error", "not a report"}});
-      return serveReport(*report, via);
-    }));
-  } else if (request.path == "/mesh/answered") {
-    respond(jsonResponse(200, answered_.toJson(runtime_.now())));
-  } else if (auto state = below("/mesh/state")) {
-    stateWay_.serve(*state, respond);
-  } else if (auto cloud = below("/mesh/cloud")) {
-    cloudWay_.serve(*cloud, respond);
-  } else if (auto worker = below("/mesh/worker")) {
-    auto slash = worker->path.find('/', 1);
-    if (slash == std::string::npos) return false;
-    std::string address = worker->path.substr(1, slash - 1);
-    worker->path = worker->path.substr(slash);
-    workerLine_.serve(address, *worker, respond);
-  } else {
-    return false;
-  }
-  return true;
-}
-
 void Controller::onMesh(const Request& request, const Respond& respond) {
   std::string path = request.path.substr(0, request.path.find('?'));
   if (path == "/mesh/hello" && request.method == "POST") return respond(mesh_.onHello(request));
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -37,6 +37,12 @@
   const Replica& replica() const { return replica_; }
 
  private:
+  static constexpr Duration kMeshHeard{2000};
+  static constexpr Duration kStoreSilent{2000};
+  static constexpr Duration kStandInAfter{1500};
+  static constexpr Duration kLeaseLife{3000};
+  static constexpr Duration kRelayDoubt{3000};  // reports passed on in vain for so long
+
   void tick();
   void runElection();
   // Users' requests, as this node's own records answer them; false: not a path of users.
--- a/src/app/leader.cpp
+++ b/src/app/leader.cpp
@@ -98,9 +98,9 @@
   }
 }
 
-// One read can bring another's election together with what it has written since. A leader that was cut
-// off must not take those records for its own (flow-faults 1 and 12: a job of the new leader's whose
-// inputs were not done in the old one's picture).
+// One read can bring another's election together with what it has written since. A leader that was
+// cut off must not take those records for its own (flow-faults 1 and 12: a job of the new leader's
+// whose inputs were not done in the old one's picture).
 bool Leader::deposed() const { return o_.replica.leaderToken() != o_.token; }
 
 void Leader::changed(bool byOthers) {
--- a/src/cloud/window_duty.cpp
+++ b/src/cloud/window_duty.cpp
@@ -74,9 +74,8 @@
   for (const auto& [zone, at] : fleet_.quietZones(now)) {
     silent[zone.value] = o_.runtime.wallMillis() - (now - at).count();
   }
-  return {{"at", o_.runtime.wallMillis()},
-          {"types", std::move(types)},
-          {"silent", std::move(silent)}};
+  return {
+      {"at", o_.runtime.wallMillis()}, {"types", std::move(types)}, {"silent", std::move(silent)}};
 }
 
 // The windows that an earlier leader left, with the gap since then closed at present demand.
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -267,8 +267,8 @@
       if (!record || record->tasks.empty()) continue;
     }
     // A new leader is not known to the workers yet.
-    Instant last = m.heard() ? m.memory.lastHeard
-                             : std::max(lastSign(m), since_ + silentAfter() / 2);
+    Instant last =
+        m.heard() ? m.memory.lastHeard : std::max(lastSign(m), since_ + silentAfter() / 2);
     ++(now - last <= due ? zones[m.zone].onTime : zones[m.zone].overdue);
     // On time, not merely within a worker's patience: where hardly any is, the way to all of them
     // is what fails, and they need a tour of all nodes to be heard again.
--- a/src/fleet/reconcile.cpp
+++ b/src/fleet/reconcile.cpp
@@ -82,9 +82,9 @@
         continue;
       }
       auto launched = m.launched.find(id);
-      // Only a later report of the worker's own accord shows that the answer with the launch came to
-      // nothing: one that answers a direct command may overtake it, for as long as a relay or a held
-      // connection keeps that answer, and the launch would be carried out after this "proof".
+      // Only a later report of the worker's own accord shows that the answer with the launch came
+      // to nothing: one that answers a direct command may overtake it, for as long as a relay or a
+      // held connection keeps that answer, and the launch would be carried out after this "proof".
       if (launched != m.launched.end() && m.lastBeat <= launched->second) continue;
       m.gone.emplace(id, Gone::stopped);
       continue;
--- a/src/fleet/reconcile.hpp
+++ b/src/fleet/reconcile.hpp
@@ -18,8 +18,9 @@
 struct MachineMemory {
   std::optional<Report> last;  // the newest
   Instant lastHeard{};
-  // The newest that the worker sent of its own accord. It sends one only after it has carried out or
-  // given up the answer to the one before; an answer to a direct command may overtake that answer.
+  // The newest that the worker sent of its own accord. It sends one only after it has carried out
+  // or given up the answer to the one before; an answer to a direct command may overtake that
+  // answer.
   Tick lastBeat{};
   // Attempts that may have been told to launch, with the newest report known by then: only a
   // later report can prove them absent.
@@ -37,8 +38,8 @@
   Duration grace{};
 };
 
-// Takes a newer report in; false if it is not newer than the last one. `beat`: sent by the worker of
-// its own accord, not as the answer to a direct command.
+// Takes a newer report in; false if it is not newer than the last one. `beat`: sent by the worker
+// of its own accord, not as the answer to a direct command.
 bool takeReport(MachineMemory& memory, const Report& report, Instant now, bool beat = true);
 
 // Updates memory.gone and returns the orders. `record` is null for a machine that has none.
--- a/src/reach/detour.hpp
+++ b/src/reach/detour.hpp
@@ -15,10 +15,10 @@
 struct DetourView {
   struct PeerView {
     MemberId member;
-    bool relays{};         // knows how to
-    Instant reachedAt{};   // when it last reached the service by its own link, as it says
+    bool relays{};        // knows how to
+    Instant reachedAt{};  // when it last reached the service by its own link, as it says
     bool heardLately{};
-    bool blocked{};        // a detour through it failed a moment ago
+    bool blocked{};  // a detour through it failed a moment ago
   };
   std::optional<Instant> failingSince;  // own link
   std::vector<PeerView> peers;
--- a/src/reach/link.hpp
+++ b/src/reach/link.hpp
@@ -1,5 +1,5 @@
-// How one link of a controller does, from the traffic that flows over it anyway: pure, told what was
-// sent when and whether an answer came.
+// How one link of a controller does, from the traffic that flows over it anyway: pure, told what
+// was sent when and whether an answer came.
 #pragma once
 
 #include <algorithm>
--- a/src/reach/reach_test.cpp
+++ b/src/reach/reach_test.cpp
@@ -97,7 +97,8 @@
 
 TEST(Detour, OnlyThroughPeersThatReachedItSinceItFailsHere) {
   DetourView v;
-  v.peers = {{kPeer, true, Instant{10200}, true, false}, {kOther, true, Instant{11000}, true, false}};
+  v.peers = {{kPeer, true, Instant{10200}, true, false},
+             {kOther, true, Instant{11000}, true, false}};
   EXPECT_FALSE(detourPeer(v));  // nothing fails
   v.failingSince = Instant{10000};
   EXPECT_EQ(detourPeer(v), kOther);
--- a/src/reach/relay.cpp
+++ b/src/reach/relay.cpp
@@ -15,6 +15,7 @@
 // machines die all the time.
 constexpr int kSeveral = 3;
 constexpr Duration kProbeEvery{2000};
+constexpr Duration kForgetVia{5 * 60 * 1000};
 constexpr Duration kTryAgainAfter{2 * kPatience};
 
 // Encoded items one after the other in an array of no stated length: they need not be decoded.
@@ -111,13 +112,17 @@
 
 void WorkerLine::heard(const std::string& address, const std::optional<MemberId>& via) {
   if (via) {
-    via_[address] = *via;
+    via_[address] = {*via, runtime_.now()};
   } else {
     via_.erase(address);
     link_.answered(runtime_.now());
   }
 }
 
+void WorkerLine::sweep() {
+  std::erase_if(via_, [&](const auto& v) { return runtime_.now() - v.second.at > kForgetVia; });
+}
+
 bool WorkerLine::reachedSince(Instant sent) const {
   return (link_.lastGood() && *link_.lastGood() >= sent) ||
          std::any_of(throughPeer_.begin(), throughPeer_.end(),
@@ -136,7 +141,7 @@
     if (!sighting.relays || now - heardAt >= kPatience) continue;
     auto failed = failedThrough_.find(member);
     bool doubtful = failed != failedThrough_.end() && now - failed->second < kTryAgainAfter;
-    std::tuple rank{doubtful, via == via_.end() || via->second != member, sighting.workersAge};
+    std::tuple rank{doubtful, via == via_.end() || via->second.peer != member, sighting.workersAge};
     if (!best || rank < bestRank) {
       best = member;
       bestRank = rank;
@@ -183,9 +188,8 @@
 
 void WorkerLine::serve(const std::string& address, const Request& request, const Respond& respond) {
   constexpr Duration kTimeout{2500};
-  http_.send(address, request, kTimeout, [respond](std::optional<Response> r) {
-    respond(r ? std::move(*r) : notReached());
-  });
+  http_.send(address, request, kTimeout,
+             [respond](std::optional<Response> r) { respond(r ? std::move(*r) : notReached()); });
 }
 
 }  // namespace kestrelhoist
--- a/src/reach/relay.hpp
+++ b/src/reach/relay.hpp
@@ -63,6 +63,8 @@
   // Whether a worker was reached, directly or through a peer, by something sent then or later.
   bool reachedSince(Instant sent) const;
   void forget() { via_.clear(); }
+  // Forgets workers that were not heard for long.
+  void sweep();
 
  private:
   Runtime& runtime_;
@@ -73,7 +75,11 @@
   Instant probedAt_{};
   std::map<MemberId, Instant> throughPeer_;  // when what was answered through it had been sent
   std::map<MemberId, Instant> failedThrough_;
-  std::map<std::string, MemberId> via_;  // by the worker's address
+  struct Via {
+    MemberId peer;
+    Instant at;
+  };
+  std::map<std::string, Via> via_;  // by the worker's address
 };
 
 }  // namespace kestrelhoist
--- a/src/reach/route.cpp
+++ b/src/reach/route.cpp
@@ -8,8 +8,8 @@
 
 Route routeReport(const ReportView& v) {
   if (v.leads) return {Way::serve, std::nullopt};
-  // A worker that was sent away and is back did not get through there: once in half a lease, so that
-  // two nodes that point at each other can't use it up.
+  // A worker that was sent away and is back did not get through there: once in half a lease, so
+  // that two nodes that point at each other can't use it up.
   bool mayMove = !v.sentAwayAgo || *v.sentAwayAgo > v.lease / 2;
   if (v.leader && v.leaderRelays) return {Way::relay, v.leader};
   if (v.leader && v.leaderHears && mayMove) return {Way::sendTo, v.leader};
--- a/src/reach/route.hpp
+++ b/src/reach/route.hpp
@@ -32,11 +32,11 @@
 };
 
 enum class Way {
-  serve,    // this controller leads
-  relay,    // to the leader, whose orders are the answer
-  bare,     // answered without orders: keeps the lease
-  sendTo,   // 421 that names `to`
-  refuse,   // 421 without a name
+  serve,   // this controller leads
+  relay,   // to the leader, whose orders are the answer
+  bare,    // answered without orders: keeps the lease
+  sendTo,  // 421 that names `to`
+  refuse,  // 421 without a name
 };
 
 struct Route {
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -119,7 +119,8 @@
     return world_->nodeFrom(word);
   }
 
-  // link NODE to GROUP up|hold|drop|reset|refuse|slow|in|out SECONDS; in, out: only this way is held.
+  // link NODE to GROUP up|hold|drop|reset|refuse|slow|in|out SECONDS; in, out: only this way is
+  // held.
   void link(int node, const std::string& to, const std::string& how, std::int64_t ms) {
     if (how == "up") return;
     CutWay way = how == "in" ? CutWay::in : how == "out" ? CutWay::out : CutWay::both;
@@ -404,7 +405,7 @@
       auto duration = static_cast<std::int64_t>(2000 + pick(38000));
       auto anyMode = static_cast<CutMode>(pick(3));
       const char* groups[] = {"all", "state", "workers", "peers", "cloud"};
-      switch (pick(15)) {
+      switch (pick(19)) {
         case 0:
           w.crash(node);
           break;
@@ -439,6 +440,20 @@
         case 11:
           cutZone(node, anyMode, 2 * duration);
           break;
+        case 12:
+          w.freeze(pick(2) ? node : w.nodeFrom("leader"), duration / 2);
+          break;
+        case 13:
+        case 14: {
+          const char* ways[] = {"hold", "reset", "slow", "in", "out"};
+          link(node, groups[pick(5)], ways[pick(5)], duration);
+          break;
+        }
+        case 15:
+          for (const auto& host : busy) {
+            if (pick(3) == 0) w.workers[host]->hang(duration);
+          }
+          break;
         case 10:
           if (!submitted_.empty()) w.abort(submitted_[pick(submitted_.size())]);
           break;
