--- /dev/null
+++ b/region/host/link_proxy.hpp
@@ -0,0 +1,53 @@
+// One link of a controller, on loopback: passes bytes on between whoever connects and one address,
+// and can be cut. Held, what is under way waits and nothing fails; reset, connections break and new
+// ones are closed at once.
+#pragma once
+
+#include <list>
+#include <memory>
+#include <string>
+
+#include "base/event_loop.hpp"
+
+struct bufferevent;
+struct evconnlistener;
+struct sockaddr;
+
+namespace kestrelhoist::region {
+
+class LinkProxy {
+ public:
+  enum class Mode { up, hold, reset };
+
+  // Listens on a free port of 127.0.0.1. Throws std::runtime_error if there is none.
+  LinkProxy(EventLoop& loop, std::string name, const std::string& target);
+  ~LinkProxy();
+  LinkProxy(const LinkProxy&) = delete;
+  LinkProxy& operator=(const LinkProxy&) = delete;
+
+  std::string address() const { return address_; }
+  const std::string& name() const { return name_; }
+  Mode mode() const { return mode_; }
+  void set(Mode mode);
+
+ private:
+  struct Pair {
+    LinkProxy* proxy{};
+    bufferevent* ends[2]{};
+    bool ended[2]{};
+    ~Pair();
+  };
+  static void onAccept(evconnlistener*, int fd, sockaddr*, int, void* self);
+  static void onRead(bufferevent* from, void* pair);
+  static void onWritten(bufferevent* to, void* pair);
+  static void onEvent(bufferevent* at, short what, void* pair);
+  void drop(Pair* pair);
+
+  EventLoop& loop_;
+  std::string name_, target_, address_;
+  evconnlistener* listener_ = nullptr;
+  Mode mode_ = Mode::up;
+  std::list<std::unique_ptr<Pair>> pairs_;
+};
+
+}  // namespace kestrelhoist::region
--- a/region/main.cpp
+++ b/region/main.cpp
@@ -14,6 +14,7 @@
 #include <random>
 
 #include "base/log.hpp"
+#include "region/host/link_proxy.hpp"
 #include "region/host/loop_seams.hpp"
 #include "region/host/process_tasks.hpp"
 
@@ -32,6 +33,7 @@
   std::uint64_t seed = 1;
   int killControllers = 0, killMachines = 0;
   int killEveryMs = 0;
+  int cutLinks = 0, cutEveryMs = 500;
   std::vector<int> free;  // ports, if they are to be free ones
 };
 
@@ -59,11 +61,43 @@
   return out;
 }
 
+// Each controller's links to the others and to the region, if they are to be cut: by "0 to state",
+// "1 to cloud", "2 to workers" (also users), "0 to 1".
+class Links {
+ public:
+  Links(kh::EventLoop& loop, const Options& o) : loop_(loop), cuts_(o.cutLinks > 0) {}
+  // The address by which this link leads to the target.
+  std::string through(const std::string& name, const std::string& target) {
+    if (!cuts_) return target;
+    for (const auto& l : links_) {
+      if (l->name() == name) return l->address();
+    }
+    links_.push_back(std::make_unique<kh::region::LinkProxy>(loop_, name, target));
+    return links_.back()->address();
+  }
+  void cutOne(std::mt19937_64& random) {
+    using Mode = kh::region::LinkProxy::Mode;
+    auto& link = *links_[random() % links_.size()];
+    if (link.mode() != Mode::up) return;
+    bool hold = random() % 3 != 0;
+    kh::Duration time{500 + static_cast<std::int64_t>(random() % 4000)};
+    kh::logInfo("link is cut", "link", link.name(), "how", hold ? "hold" : "reset", "ms",
+                time.count());
+    link.set(hold ? Mode::hold : Mode::reset);
+    loop_.after(time, [&link] { link.set(Mode::up); });
+  }
+
+ private:
+  kh::EventLoop& loop_;
+  bool cuts_;
+  std::vector<std::unique_ptr<kh::region::LinkProxy>> links_;
+};
+
 // The controllers as processes: started, started again when they end, killed at the end.
 class Controllers {
  public:
-  Controllers(kh::EventLoop& loop, const Options& o)
-      : loop_(loop), o_(o), pids_(static_cast<std::size_t>(o.controllers)) {
+  Controllers(kh::EventLoop& loop, const Options& o, Links& links)
+      : loop_(loop), o_(o), links_(links), pids_(static_cast<std::size_t>(o.controllers)) {
     child_ = evsignal_new(
         loop_.base(), SIGCHLD,
         [](int, short, void* self) { static_cast<Controllers*>(self)->reap(); }, this);
@@ -138,10 +172,14 @@
     for (int k = 0; k < o_.controllers; ++k) {
       if (k == i) continue;
       out << "[[peers]]\nmember = \"node" << k << "\"\nsite = \"" << zones[k % 3] << "\"\naddr = \""
-          << address(o_, k, true) << "\"\n";
+          << links_.through(std::to_string(i) + " to " + std::to_string(k), address(o_, k, true))
+          << "\"\n";
     }
-    out << "[external]\ncloud = \"127.0.0.1:" << portOf(o_, 1)
-        << "\"\nstate = \"127.0.0.1:" << portOf(o_, 0) << "\"\n"
+    auto own = [&](const char* what, int port) {
+      return links_.through(std::to_string(i) + " to " + what, "127.0.0.1:" + std::to_string(port));
+    };
+    out << "[external]\ncloud = \"" << own("cloud", portOf(o_, 1)) << "\"\nstate = \""
+        << own("state", portOf(o_, 0)) << "\"\n"
         << "[settings]\nsize = " << o_.controllers
         << "\nzones = [\"a\", \"b\", \"c\"]\ntime_bound_ms = 1000.0\n";
     for (const auto& team : o_.teams) {
@@ -157,6 +195,7 @@
 
   kh::EventLoop& loop_;
   const Options& o_;
+  Links& links_;
   std::vector<pid_t> pids_;
   event* child_;
   bool ending_ = false;
@@ -183,6 +222,9 @@
   app.add_option("--kill-every-ms", o.killEveryMs,
                  "controllers are killed at drawn times instead, this far apart on average");
   app.add_option("--kill-machines", o.killMachines, "so many in all, at drawn starts of tasks");
+  app.add_option("--cut-links", o.cutLinks,
+                 "so many cuts in all of single links of controllers, at drawn times");
+  app.add_option("--cut-every-ms", o.cutEveryMs, "this far apart on average");
   app.footer(
       "Example: hoist-region --directory /tmp/region --program target/kestrelhoist --operator "
       "deploy/flows.json");
@@ -217,15 +259,17 @@
     settings.listLagS = 0.2;
     kh::region::ProcessSettings processes{
         o.directory + "/files", o.directory + "/jobs", {}, o.hoist};
+    Links links(loop, o);
     for (int i = 0; i < o.controllers; ++i) {
-      settings.nodes.push_back(Controllers::address(o, i, false));
+      settings.nodes.push_back(
+          links.through(std::to_string(i) + " to workers", Controllers::address(o, i, false)));
       processes.servers.push_back(Controllers::address(o, i, false));
     }
     kh::region::ProcessTasks tasks(loop, http, processes);
     Region region(settings, clock, wire, random, tasks);
     region.state.valueBytes = 16 * 1024;
     region.state.transactionOps = 24;
-    Controllers controllers(loop, o);
+    Controllers controllers(loop, o, links);
     for (int i = 0; i < o.controllers; ++i) controllers.start(i);
 
     // Kills at drawn starts of tasks: bounded in count, whatever the machine's speed.
@@ -268,6 +312,20 @@
       });
     };
 
+    std::function<void(int)> cutLater = [&](int left) {
+      if (o.cutLinks == 0) return;
+      if (left == 0) {
+        std::printf("cut %d\n", o.cutLinks);
+        std::fflush(stdout);
+        return;
+      }
+      auto pause = static_cast<std::int64_t>(times() % (2 * static_cast<unsigned>(o.cutEveryMs)));
+      loop.after(kh::Duration{pause + 1}, [&, left] {
+        links.cutOne(times);
+        cutLater(left - 1);
+      });
+    };
+
     std::string servers;
     for (const auto& s : processes.servers) servers += (servers.empty() ? "" : ",") + s;
     std::function<void(int)> ready = [&](int left) {
@@ -278,6 +336,7 @@
                     std::printf("ready %s %s\n", servers.c_str(), processes.files.c_str());
                     std::fflush(stdout);
                     killLater(o.killControllers);
+                    cutLater(o.cutLinks);
                     return;
                   }
                   if (left > 0) loop.after(kh::Duration{200}, [&, left] { ready(left - 1); });
--- a/tests/client_loopback_test.cpp
+++ b/tests/client_loopback_test.cpp
@@ -3,6 +3,7 @@
 // form (docs/client.md has its figures). Bounded by counts of kills and jobs.
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <filesystem>
 #include <fstream>
 #include <map>
@@ -32,13 +33,16 @@
   std::set<std::string> ids;
 
   // What the workers are to run, where they look for it.
+  // Each task holds a lock of its own while it runs, which ends with its process: a second process
+  // of the same task at the same time leaves a line in "twice".
   void describe(const std::string& files, const std::string& key) const {
     Owner owner{TeamId{"herbarium"}, "ana"};
     std::string job = memberJob(owner, refFor(owner, key)).value;
     fs::create_directories(files + "/.jobs");
     std::ofstream(files + "/.jobs/" + job + ".json")
-        << R"({"command": "true", "directory": "herbarium/ana", "logs": "herbarium/ana/.jobs/)"
-        << key << R"(", "cpus": 0.1, "gpus": 0})";
+        << R"({"command": "flock -n ../../)" << key << R"(.lock sleep 0.1 || echo )" << key
+        << R"( >> ../../twice", "directory": "herbarium/ana", "logs": "herbarium/ana/.jobs/)" << key
+        << R"(", "cpus": 0.1, "gpus": 0})";
   }
 
   void run(const Settings& settings, const std::string& files) {
@@ -89,18 +93,16 @@
   }
 };
 
-TEST(ClientLoopback, ControllersAreKilledWhileAClientIsAtWork) {
-  const char* asked = std::getenv("KESTRELHOIST_KILLS");
-  int kills = asked ? std::max(1, std::atoi(asked)) : 5;
-  const char* seed = std::getenv("KESTRELHOIST_SEED");
-  Members m({"--kill-controllers", std::to_string(kills), "--kill-every-ms", "700", "--seed",
-             seed ? seed : "11"});
+// Batches until what `trouble` counts is over; then everything must be there, once, and done.
+void playBatches(const std::vector<std::string>& region, int count,
+                 int (RegionProcess::*trouble)()) {
+  Members m(region);
   ASSERT_FALSE(m.process->servers.empty()) << m.directory;
   std::string ana = m.keyFor("ana");
-  int done = 0;
-  std::thread killing([&] { done = m.process->killed(); });
+  std::atomic<int> done = 0;
+  std::thread troubling([&] { done = (m.process.get()->*trouble)(); });
   std::size_t submitted = 0;
-  for (int round = 0; done == 0 && round < 1 + kills; ++round) {
+  for (int round = 0; done == 0 && round < 1 + count; ++round) {
     std::vector<Batch> batches(3);
     std::vector<std::thread> threads;
     for (std::size_t i = 0; i < batches.size(); ++i) {
@@ -115,8 +117,14 @@
       submitted += b.ids.size();
     }
   }
-  killing.join();
-  EXPECT_EQ(done, kills);
+  troubling.join();
+  EXPECT_EQ(done, count);
+  EXPECT_FALSE(fs::exists(m.process->files + "/twice"));
+  std::size_t witnesses = 0;
+  for (const auto& entry : fs::directory_iterator(m.process->files)) {
+    witnesses += entry.path().extension() == ".lock" ? 1 : 0;
+  }
+  EXPECT_EQ(witnesses, submitted);
   // As the service has it: each batch once, all of them done, and nothing of others.
   Client c(m.settings(ana));
   JobQuery q;
@@ -134,7 +142,33 @@
   auto theirs = ben.list();
   ASSERT_TRUE(theirs);
   EXPECT_TRUE(theirs->jobs.empty());
-  std::printf("%d kills, %zu jobs\n", done, submitted);
+  std::printf("%d troubles, %zu jobs\n", done.load(), submitted);
+}
+
+int countFrom(const char* variable, int otherwise) {
+  const char* asked = std::getenv(variable);
+  return asked ? std::max(1, std::atoi(asked)) : otherwise;
+}
+
+std::string seedOr(const char* otherwise) {
+  const char* seed = std::getenv("KESTRELHOIST_SEED");
+  return seed ? seed : otherwise;
+}
+
+TEST(ClientLoopback, ControllersAreKilledWhileAClientIsAtWork) {
+  int kills = countFrom("KESTRELHOIST_KILLS", 5);
+  playBatches({"--kill-controllers", std::to_string(kills), "--kill-every-ms", "700", "--seed",
+               seedOr("11")},
+              kills, &RegionProcess::killed);
+}
+
+// Single links of controllers (to the state service, the cloud, the workers, one another) are held
+// or reset for up to 4.5 s, several at a time; KESTRELHOIST_CUTS=300 plays the long form.
+TEST(ClientLoopback, LinksAreCutWhileAClientIsAtWork) {
+  int cuts = countFrom("KESTRELHOIST_CUTS", 12);
+  playBatches(
+      {"--cut-links", std::to_string(cuts), "--cut-every-ms", "500", "--seed", seedOr("12")}, cuts,
+      &RegionProcess::cut);
 }
 
 // Rule files with keys on: a member's flows are its own.
--- a/tests/region_process.hpp
+++ b/tests/region_process.hpp
@@ -56,6 +56,12 @@
     return std::fscanf(in_, " killed %d", &n) == 1 ? n : 0;
   }
 
+  // Likewise all cuts of links.
+  int cut() {
+    int n = 0;
+    return std::fscanf(in_, " cut %d", &n) == 1 ? n : 0;
+  }
+
   std::vector<std::string> servers;
   std::string files;
 
