--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -231,6 +231,19 @@
       if (words.at(1) == "crash") w.crash(node, ms(words.at(3)));
       if (words.at(1) == "freeze") w.freeze(node, ms(words.at(3)));
       if (words.at(1) == "slow") link(node, "peers", "slow", ms(words.at(3)));
+    } else if (verb == "traffic") {  // traffic WHAT: since the line before, a second
+      std::cout << words.at(1) << " at " << w.now() << " s, " << w.workers.size() << " machines\n";
+      for (const auto& [path, t] : w.network.traffic) {
+        auto& before = trafficBefore_[path];
+        double s = w.now() - trafficAt_;
+        if (t.requests > before.requests && path.starts_with("/mesh")) {
+          std::cout << "  " << path << ": " << static_cast<double>(t.requests - before.requests) / s
+                    << " requests, " << static_cast<double>(t.bytes - before.bytes) / s / 1024
+                    << " KiB a second\n";
+        }
+      }
+      trafficBefore_ = w.network.traffic;
+      trafficAt_ = w.now();
     } else if (verb == "watch") {  // watch ID: for `expect fewest`
       w.watch(words.at(1));
       officesBefore_ = w.offices;
@@ -482,6 +495,8 @@
   std::vector<std::string> submitted_;
   int nextJob_ = 500000;
   int officesBefore_ = 0;
+  std::map<std::string, Network::Traffic> trafficBefore_;
+  double trafficAt_ = 0;
   std::map<std::string, FlowPlanSpec> flows_;
 };
 
--- a/tests/sim/virtual_time.hpp
+++ b/tests/sim/virtual_time.hpp
@@ -65,6 +65,11 @@
   void cutOff(const std::set<std::string>& inside, CutMode mode, std::int64_t ms) {
     cuts_.push_back({"", {}, inside, mode, clock_.now() + ms, CutWay::both});
   }
+  // Requests between hosts so far, with the bytes of both bodies, by the first two parts of the path.
+  struct Traffic {
+    std::size_t requests{}, bytes{};
+  };
+  std::map<std::string, Traffic> traffic;
   double lossOfAnswers = 0;  // share of requests whose answer is lost
   double lateRequests = 0;   // share that arrives up to two minutes late
 
@@ -78,16 +83,21 @@
     };
     clock_.in(timeout, [finish] { finish(std::nullopt); });
     std::string to = address.substr(0, address.find(':'));
+    auto second = request.path.find('/', 1);
+    auto& sum = traffic[request.path.substr(0, request.path.find_first_of("/?", second + 1))];
+    ++sum.requests;
+    sum.bytes += request.body.size();
     std::int64_t delay = latency();
     if (chance(lateRequests))
       delay += std::uniform_int_distribution<std::int64_t>(0, 120000)(random_);
-    travel(from, to, delay, [this, from, to, address, request, finish](bool reset) {
+    travel(from, to, delay, [this, from, to, address, request, finish, &sum](bool reset) {
       if (reset) return finish(std::nullopt);
       auto server = servers_.find(address);
       if (server == servers_.end()) return finish(std::nullopt);
       bool lost = chance(lossOfAnswers);
-      server->second(from, request, [this, from, to, finish, lost](const Response& r) {
+      server->second(from, request, [this, from, to, finish, lost, &sum](const Response& r) {
         if (lost) return;
+        sum.bytes += r.body.size();
         travel(to, from, latency(), [finish, r](bool reset) {
           if (reset) return finish(std::nullopt);
           finish(r);
