--- a/src/base/tls.cpp
+++ b/src/base/tls.cpp
@@ -63,8 +63,10 @@
 
 TlsServer::~TlsServer() = default;
 
-std::int64_t TlsServer::stamp() const {
-  return changedAt(certificate_) * 31 + changedAt(key_) * 7 + changedAt(authority_);
+// Unsigned: the product of a time in nanoseconds wraps, which signed numbers may not.
+std::uint64_t TlsServer::stamp() const {
+  auto at = [](const std::string& file) { return static_cast<std::uint64_t>(changedAt(file)); };
+  return at(certificate_) * 31 + at(key_) * 7 + at(authority_);
 }
 
 std::shared_ptr<ssl_ctx_st> TlsServer::load() const {
--- a/src/base/tls.hpp
+++ b/src/base/tls.hpp
@@ -27,9 +27,9 @@
 
  private:
   std::shared_ptr<ssl_ctx_st> load() const;
-  std::int64_t stamp() const;
+  std::uint64_t stamp() const;
   std::string certificate_, key_, authority_;
-  std::int64_t stamp_{};
+  std::uint64_t stamp_{};
   std::shared_ptr<ssl_ctx_st> context_;
 };
 
