--- a/region/main.cpp
+++ b/region/main.cpp
@@ -296,33 +296,28 @@
       }
     };
 
-    // Kills at drawn times, once the first controller is ready; "killed N" tells when all are done.
+    // Kills and cuts at drawn times, once the first controller is ready; "killed N" or "cut N"
+    // tells when all are done.
     std::mt19937_64 times(o.seed + 1);
-    std::function<void(int)> killLater = [&](int left) {
-      if (o.killEveryMs == 0 || o.killControllers == 0) return;
-      if (left == 0) {
-        std::printf("killed %d\n", o.killControllers);
-        std::fflush(stdout);
-        return;
-      }
-      auto pause = static_cast<std::int64_t>(times() % (2 * static_cast<unsigned>(o.killEveryMs)));
-      loop.after(kh::Duration{pause + 1}, [&, left] {
-        controllers.killOne(times());
-        killLater(left - 1);
-      });
+    struct Series {
+      const char* word;
+      int count, everyMs;
+      std::function<void()> act;
     };
-
-    std::function<void(int)> cutLater = [&](int left) {
-      if (o.cutLinks == 0) return;
+    Series killing{"killed", o.killEveryMs == 0 ? 0 : o.killControllers, o.killEveryMs,
+                   [&] { controllers.killOne(times()); }};
+    Series cutting{"cut", o.cutLinks, o.cutEveryMs, [&] { links.cutOne(times); }};
+    std::function<void(const Series&, int)> later = [&](const Series& s, int left) {
+      if (s.count == 0) return;
       if (left == 0) {
-        std::printf("cut %d\n", o.cutLinks);
+        std::printf("%s %d\n", s.word, s.count);
         std::fflush(stdout);
         return;
       }
-      auto pause = static_cast<std::int64_t>(times() % (2 * static_cast<unsigned>(o.cutEveryMs)));
+      auto pause = static_cast<std::int64_t>(times() % (2 * static_cast<unsigned>(s.everyMs)));
       loop.after(kh::Duration{pause + 1}, [&, left] {
-        links.cutOne(times);
-        cutLater(left - 1);
+        s.act();
+        later(s, left - 1);
       });
     };
 
@@ -335,8 +330,8 @@
                   if (r && r->status == 200) {
                     std::printf("ready %s %s\n", servers.c_str(), processes.files.c_str());
                     std::fflush(stdout);
-                    killLater(o.killControllers);
-                    cutLater(o.cutLinks);
+                    later(killing, killing.count);
+                    later(cutting, cutting.count);
                     return;
                   }
                   if (left > 0) loop.after(kh::Duration{200}, [&, left] { ready(left - 1); });
