One bound for renewing leases; held launches of cancelled jobs start nothing

Cause 1: a direct launch that is held up belongs to a session that lease-only answers of other controllers keep up, under a token that stays the newest. Whoever renews now settles the attempt: launch and stop in one answer, both or none (a full list of orders could carry the launch alone). Cause 2: a load that straddled a refusal counted as of its last page, though what was cancelled since its first page may be on none. LeaseRenewal states the inequality, and every 200 to a worker asks it; no second computation is left.

The runner: gap, meet, held, late_writes, slow, abort through, expect goneby; a start of a cancelled task's after cancel_s breaks the rule by itself (it was looked for every 500 ms only).

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -36,6 +36,7 @@
       planner_(planner),
       platform_(platform),
       settings_(settings),
+      renewal_(platform),
       mesh_(runtime, http, platform),
       stateWay_(runtime, http, mesh_,
                 {"state",
@@ -244,7 +245,7 @@
     }
   }
   Duration silent = feed_.contactAge();
-  if (feed_.loaded() && silent > platform_.trustBound()) {
+  if (feed_.loaded() && !mayRenew()) {
     return leaveOffice("no contact with the state service for too long", false, Duration{1000});
   }
   if (feed_.loaded() && silent > kStoreSilent && mesh_.peerWithStore(feed_.failingSince())) {
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -61,6 +61,9 @@
   Response serveReport(const Report& report, const std::optional<MemberId>& via);
   ReportView reportView(const Report& report) const;
   Response bareAnswer(const Report& report) const;
+  // Until when leases may be renewed; empty: not at all. Every 200 to a worker asks it.
+  std::optional<Instant> renewUntil() const;
+  bool mayRenew() const;
   Response sendAway(const Report& report, const std::optional<MemberId>& to);
   // What peers know of workers that this new leader has not heard.
   void askPeersForAnswered();
@@ -76,6 +79,7 @@
   PlanRunner& planner_;
   const Platform& platform_;
   const OperatorSettings& settings_;
+  const LeaseRenewal renewal_;
   Mesh mesh_;
   Detour stateWay_;
   Detour cloudWay_;
--- a/src/app/controller_links.cpp
+++ b/src/app/controller_links.cpp
@@ -19,14 +19,23 @@
   }
 }
 
+std::optional<Instant> Controller::renewUntil() const {
+  if (!feed_.loaded()) return std::nullopt;
+  return renewal_.until(feed_.recordsAsOf());
+}
+
+bool Controller::mayRenew() const {
+  auto until = renewUntil();
+  return until && runtime_.now() <= *until;
+}
+
 ReportView Controller::reportView(const Report& report) const {
   ReportView v;
   v.now = runtime_.now();
   v.leads = leader_ && election_.leads();
   v.keyLife = kLeaseLife;
-  v.loaded = feed_.loaded();
+  v.renewUntil = renewUntil();
   v.contactAge = feed_.contactAge();
-  v.trustBound = platform_.trustBound();
   v.known = lastToken_;
   v.reported = report.token;
   v.foreignZone = report.zone != platform_.zone;
@@ -66,16 +75,15 @@
 
 // A worker keeps its lease while no leader can be asked, under the token that it and this
 // controller know. Nothing is launched or cleared, and nothing is proven by it. Tasks of jobs that
-// are known to be over are stopped: whoever keeps leases up must not keep up what was cancelled.
+// are known to be over are stopped, those included that it may still be told to launch: whoever
+// keeps leases up must not keep up what was cancelled.
 Response Controller::bareAnswer(const Report& report) const {
-  std::vector<Order> orders;
-  for (const auto& task : report.tasks) {
-    const auto* job = replica_.job(task.id.task.job);
-    if (task.state != TaskState::ended && job && !job->active()) {
-      orders.push_back({Order::Kind::stop, task.id, Duration{0}});
-    }
-  }
-  return jsonResponse(200, ordersToJson(lastToken_, orders));
+  auto over = [this](const JobId& id) {
+    const auto* job = replica_.job(id);
+    return job && !job->active();
+  };
+  return jsonResponse(
+      200, ordersToJson(lastToken_, leaseOnlyOrders(report, replica_.machine(report.machine), over)));
 }
 
 Response Controller::sendAway(const Report& report, const std::optional<MemberId>& to) {
@@ -127,7 +135,7 @@
 Response Controller::serveReport(const Report& report, const std::optional<MemberId>& via) {
   auto away = [] { return jsonResponse(421, Json::object()); };
   if (!leader_ || !election_.leads()) return away();
-  if (feed_.contactAge() > platform_.trustBound()) {
+  if (!mayRenew()) {
     // A node that hung finds reports waiting before its timers: the bound holds for each answer.
     leaveOffice("no contact with the state service for too long", false, Duration{1000});
     return away();
--- a/src/config/platform.hpp
+++ b/src/config/platform.hpp
@@ -1,7 +1,6 @@
 // The platform's settings file (TOML). Unknown fields are ignored, the rest is checked.
 #pragma once
 
-#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -58,12 +57,6 @@
   std::size_t maxConnections{};
 
   std::size_t nodes() const { return peers.size() + 1; }
-  // How long reports may be answered with no contact to the state service: a cancellation that
-  // can't be known of must still take its tasks off within `cancelWithin`.
-  Duration trustBound() const {
-    auto bound = (cancelWithin - workerLease) * 999 / 1000 - Duration{3000};
-    return std::max(bound, Duration{0});
-  }
 };
 
 // Throws std::runtime_error with one line that names the file and the field.
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -15,7 +15,7 @@
 }  // namespace
 
 Fleet::Fleet(const Platform& platform, const Replica& replica, Token token, Instant now)
-    : platform_(platform), replica_(replica), token_(token), since_(now), lastHeardAny_(now) {}
+    : platform_(platform), renewal_(platform), replica_(replica), token_(token), since_(now), lastHeardAny_(now) {}
 
 Machine* Fleet::find(const MachineId& id) {
   auto it = machines_.find(id);
@@ -367,8 +367,8 @@
     }
     if (silentZones_.contains(m.zone) || reporting == 0 || blind) {
       Duration inside = platform_.workerLease + Duration{1000};
-      if (standIn(m.zone)) inside += platform_.trustBound();
-      if (blind) inside = 2 * platform_.workerLease + platform_.trustBound() + Duration{1000};
+      if (standIn(m.zone)) inside += renewal_.longest();
+      if (blind) inside = 2 * platform_.workerLease + renewal_.longest() + Duration{1000};
       patience = std::max(patience, inside);
     } else if (auto back = zoneSilentAt_.find(m.zone); back != zoneSilentAt_.end()) {
       // The zone has just come back: its workers find the leader one after the other.
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -10,6 +10,7 @@
 #include "cloud/catalogue.hpp"
 #include "config/platform.hpp"
 #include "evidence/evidence.hpp"
+#include "fleet/lease_renewal.hpp"
 #include "fleet/reconcile.hpp"
 #include "store/replica.hpp"
 
@@ -126,6 +127,7 @@
   Duration reportDue() const;
 
   const Platform& platform_;
+  const LeaseRenewal renewal_;
   const Replica& replica_;
   Token token_;
   Instant since_;
--- a/src/fleet/fleet_test.cpp
+++ b/src/fleet/fleet_test.cpp
@@ -62,5 +62,24 @@
   EXPECT_EQ(givenUp(65000), 37U);
 }
 
+// The sum of lease_renewal.hpp at the three paces: what is told a moment after the records' instant is
+// gone in time although the last report is answered at the last moment.
+TEST(LeaseRenewal, EndsSoEarlyThatTheLeaseIsOverInTime) {
+  for (auto [lease, cancel] : {std::pair{11000, 41000}, {17500, 47500}, {36000, 61000}}) {
+    Platform p;
+    p.workerLease = Duration{lease};
+    p.cancelWithin = Duration{cancel};
+    Instant asOf{100000};
+    Duration slowLease{lease * 10005 / 10000 + 1};
+    Instant over = LeaseRenewal(p).until(asOf) + slowLease;
+    EXPECT_LE(over + Duration{2950}, asOf + p.cancelWithin);
+    EXPECT_GE(over + Duration{3100}, asOf + p.cancelWithin);  // nor earlier than needed
+  }
+  Platform p;
+  p.workerLease = Duration{30000};
+  p.cancelWithin = Duration{31000};
+  EXPECT_EQ(LeaseRenewal(p).until(Instant{5}), Instant{5});
+}
+
 }  // namespace
 }  // namespace kestrelhoist
--- a/src/fleet/reconcile.cpp
+++ b/src/fleet/reconcile.cpp
@@ -6,6 +6,14 @@
 // A response to a worker may be at most 64 KiB.
 constexpr std::size_t kMaxOrders = 300;
 
+// Makes the worker know the attempt, so that a launch that is still under way does nothing. Both or
+// none: a launch alone would start it.
+void addSettled(std::vector<Order>& orders, const AttemptId& id) {
+  if (orders.size() + 2 > kMaxOrders) return;
+  orders.push_back({Order::Kind::launch, id, Duration{0}});
+  orders.push_back({Order::Kind::stop, id, Duration{0}});
+}
+
 Gone goneFrom(EndCause cause) {
   switch (cause) {
     case EndCause::done:
@@ -75,9 +83,7 @@
       // worker may still obey: absence proves nothing yet.
       if (report.token != token) continue;
       if (m.tainted.contains(id)) {
-        // Makes the worker know the attempt, so that the late launch does nothing.
-        add(Order::Kind::launch, id);
-        add(Order::Kind::stop, id);
+        addSettled(orders, id);
         m.launched[id] = report.tick;
         continue;
       }
@@ -112,4 +118,25 @@
   return orders;
 }
 
+std::vector<Order> leaseOnlyOrders(const Report& report, const MachineState* record,
+                                   const std::function<bool(const JobId&)>& over) {
+  std::vector<Order> orders;
+  for (const auto& task : report.tasks) {
+    if (orders.size() == kMaxOrders) return orders;
+    if (task.state != TaskState::ended && over(task.id.task.job)) {
+      orders.push_back({Order::Kind::stop, task.id, Duration{0}});
+    }
+  }
+  // A direct launch that the leader has no answer to may arrive minutes later, under a token that
+  // stays the newest for as long as there is no other leader, and this answer keeps the session up
+  // to which it belongs. Nothing of a job that is over is ever placed again, so wherever its task may
+  // be, this attempt is the only one.
+  for (const auto& on : record ? record->tasks : std::vector<TaskOn>{}) {
+    if (on.tenure == report.tenure && !report.find(on.id) && over(on.id.task.job)) {
+      addSettled(orders, on.id);
+    }
+  }
+  return orders;
+}
+
 }  // namespace kestrelhoist
--- a/src/fleet/reconcile.hpp
+++ b/src/fleet/reconcile.hpp
@@ -48,4 +48,9 @@
 std::vector<Order> reconcile(MachineMemory& memory, const MachineState* record, Token token,
                              bool mayLaunch, const std::function<Wish(const AttemptId&)>& wish);
 
+// Orders for a worker whose lease a controller renews in the leader's stead: none but stops of jobs
+// that are over by its records. `record`: as that controller's copy has it.
+std::vector<Order> leaseOnlyOrders(const Report& report, const MachineState* record,
+                                   const std::function<bool(const JobId&)>& over);
+
 }  // namespace kestrelhoist
--- a/src/fleet/reconcile_test.cpp
+++ b/src/fleet/reconcile_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace kestrelhoist {
 namespace {
 
@@ -162,5 +164,48 @@
   EXPECT_FALSE(reportFrom(v));
 }
 
+// A launch alone would start what its user was told is cancelled.
+TEST_F(Fixture, ALaunchThatMakesAnAttemptKnownNeverGoesWithoutItsStop) {
+  record.tasks.clear();
+  for (std::uint32_t i = 0; i < 299; ++i) {
+    record.tasks.push_back({{{JobId{"j-000002"}, i}, Attempt{7}}, Tenure{2}, nullptr});
+  }
+  record.tasks.push_back({kTask, Tenure{2}, nullptr});
+  memory.tainted.insert(kTask);
+  takeReport(memory, report(2, 1, 5), Instant{0});
+  auto orders = reconcile(memory, &record, Token{5}, true, [&](const AttemptId& id) {
+    return Wish{id == kTask, Duration{0}};
+  });
+  auto mine = [](const Order& o) { return o.id == kTask; };
+  EXPECT_EQ(std::count_if(orders.begin(), orders.end(), mine), 0);
+}
+
+struct LeaseOnly : Fixture {
+  Report r = report(2, 1, 5);
+  std::vector<Order> answer(bool over) {
+    return leaseOnlyOrders(r, &record, [&](const JobId&) { return over; });
+  }
+};
+
+TEST_F(LeaseOnly, AnswerStopsWhatIsOverAndNothingElse) {
+  r.tasks = {{kTask, TaskState::running}, {{{JobId{"j-000009"}, 0}, Attempt{1}}, TaskState::ended}};
+  EXPECT_TRUE(answer(false).empty());
+  auto orders = answer(true);
+  ASSERT_EQ(orders.size(), 1U);
+  EXPECT_EQ(orders[0].kind, Order::Kind::stop);
+  EXPECT_EQ(orders[0].id, kTask);
+}
+
+// The leader's direct launch may still be under way, and this answer keeps its session up.
+TEST_F(LeaseOnly, AnswerMakesAHeldLaunchOfWhatIsOverHarmless) {
+  EXPECT_TRUE(answer(false).empty());
+  auto orders = answer(true);
+  ASSERT_EQ(orders.size(), 2U);
+  EXPECT_EQ(orders[0].kind, Order::Kind::launch);
+  EXPECT_EQ(orders[1].kind, Order::Kind::stop);
+  r = report(3, 1, 5);  // of another session: the launch is refused there
+  EXPECT_TRUE(answer(true).empty());
+}
+
 }  // namespace
 }  // namespace kestrelhoist
--- a/src/reach/reach_test.cpp
+++ b/src/reach/reach_test.cpp
@@ -15,9 +15,8 @@
 ReportView alone() {
   ReportView v;
   v.now = Instant{100000};
-  v.loaded = true;
   v.contactAge = Duration{1000};
-  v.trustBound = Duration{20000};
+  v.renewUntil = v.now + Duration{19000};
   v.known = v.reported = Token{7};
   v.keyLife = Duration{3000};
   v.lease = Duration{12000};
@@ -49,7 +48,9 @@
 TEST(Route, BareOnlyWithinTheBoundAndUnderAKnownToken) {
   auto v = alone();
   EXPECT_EQ(routeReport(v).way, Way::bare);
-  v.contactAge = Duration{20001};  // a cancellation might be unknown for too long
+  v.renewUntil = v.now;
+  EXPECT_EQ(routeReport(v).way, Way::bare);
+  v.renewUntil = v.now - Duration{1};  // a cancellation might be unknown for too long
   EXPECT_EQ(routeReport(v).way, Way::refuse);
   v = alone();
   v.reported = Token{8};  // the worker would drop it, and stay while its lease runs out
@@ -58,7 +59,7 @@
   v.known = v.reported = Token{};
   EXPECT_EQ(routeReport(v).way, Way::refuse);
   v = alone();
-  v.loaded = false;
+  v.renewUntil.reset();
   EXPECT_EQ(routeReport(v).way, Way::refuse);
 }
 
--- a/src/reach/route.cpp
+++ b/src/reach/route.cpp
@@ -3,7 +3,7 @@
 namespace kestrelhoist {
 
 bool mayAnswerBare(const ReportView& v) {
-  return v.loaded && v.known != Token{} && v.reported <= v.known && v.contactAge <= v.trustBound;
+  return v.renewUntil && v.now <= *v.renewUntil && v.known != Token{} && v.reported <= v.known;
 }
 
 Route routeReport(const ReportView& v) {
--- a/src/reach/route.hpp
+++ b/src/reach/route.hpp
@@ -20,9 +20,9 @@
   std::optional<MemberId> holder;
   Duration holderUnheard{};  // for how long the holder was not heard while it kept the key
   Duration keyLife{};        // the longest that a leader key outlives its holder
-  bool loaded{};             // the records have been read
-  Duration contactAge{};     // since the last read of the records
-  Duration trustBound{};     // Platform::trustBound
+  // Until when leases may be renewed (LeaseRenewal); empty: the records have not been read.
+  std::optional<Instant> renewUntil;
+  Duration contactAge{};     // of the records
   Token known;               // of the newest leader known of
   Token reported;            // the worker's
   bool foreignZone{};        // the worker is in another zone than this controller
--- a/src/store/feed.cpp
+++ b/src/store/feed.cpp
@@ -8,7 +8,7 @@
     : runtime_(runtime), store_(store), replica_(replica), settings_(settings) {}
 
 void Feed::start() {
-  lastContact_ = runtime_.now() - Duration{1000000};
+  recordsAsOf_ = runtime_.now() - Duration{1000000};
   load("", true);
   poll();
 }
@@ -22,7 +22,10 @@
       return;
     }
     failures_ = 0;
-    if (first) loadEpoch_ = r.epoch;
+    if (first) {
+      loadEpoch_ = r.epoch;
+      loadAsOf_ = sentAt;
+    }
     for (const auto& row : r.rows) replica_.apply(row);
     if (r.more && !r.rows.empty()) {
       load(r.rows.back().key, false);
@@ -32,7 +35,9 @@
     // again, and the stamps of the keys sort out what is already here.
     replica_.advance(loadEpoch_);
     loaded_ = true;
-    lastContact_ = sentAt;
+    // Not when the last page was sent: pages are asked for again across refusals, and what was cancelled
+    // since the first one may be in none of them (leases would be renewed without knowing of it).
+    recordsAsOf_ = loadAsOf_;
     logInfo("records loaded", "revision", loadEpoch_, "jobs", replica_.jobs().size(), "machines",
             replica_.machines().size());
     schedule();
@@ -81,7 +86,7 @@
     failures_ = 0;
     for (const auto& c : r.changes) replica_.apply(c);
     replica_.advance(r.epoch);
-    lastContact_ = sentAt;
+    recordsAsOf_ = sentAt;
   } else if (r.kind == ChangesResult::Kind::tooOld) {
     logInfo("changes are gone, reading all records again", "since", replica_.cursor());
     loaded_ = false;
--- a/src/store/feed.hpp
+++ b/src/store/feed.hpp
@@ -25,9 +25,10 @@
   void setInterval(Duration d) { interval_ = d; }
 
   bool loaded() const { return loaded_; }
-  // When the last successful read was sent.
-  Instant lastContact() const { return lastContact_; }
-  Duration contactAge() const { return runtime_.now() - lastContact_; }
+  // Each change committed before this is in the copy: when the last successful read was sent, or the
+  // first page of a load.
+  Instant recordsAsOf() const { return recordsAsOf_; }
+  Duration contactAge() const { return runtime_.now() - recordsAsOf_; }
   bool reachable() const {
     return loaded_ && failures_ == 0 && contactAge() < settings_.staleAfter;
   }
@@ -55,9 +56,10 @@
   bool scheduled_ = false;
   int failures_ = 0;
   Instant failingSince_{};
-  Instant lastContact_{};
+  Instant recordsAsOf_{};
   Instant lastSent_{};
-  Revision loadEpoch_;
+  Revision loadEpoch_;     // of the first page, and when it was asked for
+  Instant loadAsOf_{};
   std::vector<std::function<void(bool)>> waiting_;  // for the next read
   std::vector<std::function<void(bool)>> served_;   // by the read in flight
 };
--- a/tests/scenario_expect.hpp
+++ b/tests/scenario_expect.hpp
@@ -1,11 +1,11 @@
 // What a scenario expects of a world, and the made-up flows of its lines.
 #pragma once
 
-#include "scenario_troubles.hpp"
+#include "scenario_meetings.hpp"
 
 namespace kestrelhoist::sim {
 
-class ScenarioExpect : public ScenarioTroubles {
+class ScenarioExpect : public ScenarioMeetings {
  protected:
   void expect(const Line& line) {
     World& w = *world_;
@@ -58,6 +58,9 @@
         }
       }
       EXPECT_GE(sum, std::stod(words.at(5)));
+    } else if (what == "goneby") {  // expect goneby most S: tasks of cancelled jobs, after the answer
+      std::cout << "gone by " << w.goneBy() << " s of " << settings_.cancelS << " s\n";
+      EXPECT_LE(w.goneBy(), std::stod(words.at(3)));
     } else if (what == "unanswered") {  // expect unanswered ID: what the check above is for
       EXPECT_TRUE(w.unanswered(kForgotten).contains(words.at(2))) << "was answered";
     } else if (what == "unbegun") {  // expect unbegun ID S: it had no task started so long after
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -39,6 +39,7 @@
     auto ms = [](const std::string& s) { return static_cast<std::int64_t>(std::stod(s) * 1000); };
     if (verb == "submit") {
       w.submit(jobFrom(words.at(1), options(line, 2)));
+      named_.push_back(words.at(1));
     } else if (verb == "stream") {  // stream FROM-ID EVERY SECONDS for SECONDS KEY VALUE ...
       JobPlan job = jobFrom(words.at(1), options(line, 6));
       int number = std::stoi(job.id.substr(2));
@@ -122,8 +123,20 @@
     } else if (verb == "crashcommit") {  // the leader, at the N-th commit of flows from now on
       auto n = words.at(1) == "seed" ? settings_.seed : std::stoull(words.at(1));
       w.crashAtFlowCommit = w.flowCommits + n;
-    } else if (verb == "abort") {
-      w.abort(words.at(1));
+    } else if (verb == "abort") {  // abort ID [through NODE]: asks this one first
+      w.abortThrough(words.at(1), words.size() > 3 ? nodeOf(words.at(3)) : -1);
+    } else if (verb == "gap") {  // gap TIMES: see ScenarioMeetings::gap
+      gap(std::stoi(words.at(1)));
+    } else if (verb == "meet") {  // meet WHAT SECONDS: see ScenarioMeetings::meet
+      meet(words.at(1), ms(words.at(2)));
+    } else if (verb == "late_writes") {  // late_writes SHARE SECONDS: carried out 2 to 12 s later
+      w.network.lateWrites = std::stod(words.at(1));
+      w.clock.in(ms(words.at(2)), [&w] { w.network.lateWrites = 0; });
+    } else if (verb == "slow") {  // slow state ANSWERS SECONDS: its answers take so much longer
+      w.network.slowState = ms(words.at(2));
+      w.clock.in(ms(words.at(3)), [&w] { w.network.slowState = 0; });
+    } else if (verb == "held") {  // held SHARE FROM TO: direct commands, and answers to workers
+      w.network.held = {std::stod(words.at(1)), ms(words.at(2)), ms(words.at(3))};
     } else if (verb == "run") {
       w.runFor(std::stod(words.at(1)));
     } else if (verb == "crash") {  // crash WHO [SECONDS]: until the process is back
--- a/tests/scenario_troubles.hpp
+++ b/tests/scenario_troubles.hpp
@@ -40,10 +40,11 @@
       {"hang", {2}},         {"faulty", {2}},     {"polls", {1, 2}}, {"notice", {2}},
       {"lose", {2}},         {"capacity", {2}},   {"crash", {2}},    {"crashes", {2, 3, 4}},
       {"copies", {1, 2, 3}}, {"beside", {2}},     {"dieshare", {1}}, {"alone", {3}},
-      {"deafzone", {3}},     {"stream", {3, 5}},  {"catch", {4}}};
+      {"deafzone", {3}},     {"stream", {3, 5}},  {"catch", {4}},    {"gap", {1}},
+      {"late_writes", {1, 2}}, {"slow", {2, 3}},  {"held", {1, 2, 3}}, {"meet", {2}}};
   static const std::set<std::string> kOptions{
       "nodes",  "ordinary", "spot",     "boot",   "bootfail", "gpusmax",   "report", "lease",
-      "cancel", "pace",     "balancer", "writes", "valuekb",  "ops",       "flows",  "tasks",
+      "cancel", "pace",     "balancer", "writes", "fetch", "valuekb",  "ops",       "flows",  "tasks",
       "gpus",   "cpus",     "wrong",    "ram",    "run",      "checkpoint"};
   static const std::set<std::string> kWords{"phase", "leader", "flow",     "underserved",
                                             "gone",  "waits",  "answered", "unanswered",
@@ -101,6 +102,8 @@
         settings_.bootFail = v;
       else if (key == "gpusmax")
         settings_.gpusMax = v;
+      else if (key == "fetch")  // seconds until a machine has an image
+        settings_.fetchS = v;
       else if (key == "report")
         settings_.reportS = v;
       else if (key == "lease")
@@ -214,6 +217,8 @@
         job.ram = std::stod(value);
       else if (key == "cpus")
         job.cpus = std::stod(value);
+      else if (key == "stagger")  // task 1 runs so much longer than task 0, and so on
+        job.staggerS = std::stod(value);
       else if (key == "run")
         job.runS = std::stod(value);
       else if (key == "rank")
@@ -464,6 +469,7 @@
   WorldSettings settings_;
   std::unique_ptr<World> world_;
   std::vector<std::string> submitted_;
+  std::vector<std::string> named_;  // submitted by lines
   int nextJob_ = 500000;
   int turn_ = 0;
   int officesBefore_ = 0;
--- a/tests/sim/virtual_time.hpp
+++ b/tests/sim/virtual_time.hpp
@@ -80,6 +80,11 @@
     std::int64_t from = 0, to = 0;
   };
   Copies copies;
+  // This share of transactions gets no answer and is carried out 2 to 12 s later, after newer ones.
+  double lateWrites = 0;
+  // This share of direct commands, and of answers to them and to reports, is held up for so long (ms).
+  Copies held;
+  std::int64_t slowState = 0;  // longer until an answer of the state service comes (ms)
 
   void send(const std::string& from, const std::string& address, Request request,
             std::int64_t timeout, OnReply done) override {
@@ -106,15 +111,22 @@
         }
       });
     }
-    travel(from, to, delay, [this, from, to, address, request, finish, &sum](bool reset) {
+    bool command = request.path == "/commands";
+    bool late = request.path == "/commit" && chance(lateWrites);
+    if (late) delay += std::uniform_int_distribution<std::int64_t>(2000, 12000)(random_);
+    if (command && chance(held.share)) delay += heldFor();
+    std::int64_t back = 0;
+    if ((command || request.path == "/agent/beat") && chance(held.share)) back = heldFor();
+    if (to == "state") back += slowState;
+    travel(from, to, delay, [this, from, to, address, request, finish, late, back, &sum](bool reset) {
       if (reset) return finish(std::nullopt);
       auto server = servers_.find(address);
       if (server == servers_.end()) return finish(std::nullopt);
-      bool lost = chance(lossOfAnswers);
-      server->second(from, request, [this, from, to, finish, lost, &sum](const Response& r) {
+      bool lost = chance(lossOfAnswers) || late;
+      server->second(from, request, [this, from, to, finish, lost, back, &sum](const Response& r) {
         if (lost) return;
         sum.bytes += r.body.size();
-        travel(to, from, latency(), [finish, r](bool reset) {
+        travel(to, from, back + latency(), [finish, r](bool reset) {
           if (reset) return finish(std::nullopt);
           finish(r);
         });
@@ -132,6 +144,9 @@
     CutWay way;
   };
   std::int64_t latency() { return std::uniform_int_distribution<std::int64_t>(1, 4)(random_); }
+  std::int64_t heldFor() {
+    return std::uniform_int_distribution<std::int64_t>(held.from, held.to)(random_);
+  }
   bool chance(double p) { return p > 0 && std::bernoulli_distribution(p)(random_); }
 
   const Cut* cutBetween(const std::string& a, const std::string& b) const {
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -301,7 +301,7 @@
     if (p->errsAfterS >= 0) return;
   }
   if (p->shape == "daemon") return;
-  double left = results.contains(key) ? 0 : std::max(0.0, p->runS - progress[key]);
+  double left = results.contains(key) ? 0 : std::max(0.0, p->runS + task.index * p->staggerS - progress[key]);
   clock.in(ms(left) + 1, [this, &worker, life = task.life, key] {
     worker.whenAwake([this, &worker, life, key] {
       Worker::Task* t = worker.byLife(life);
@@ -358,7 +358,7 @@
   for (std::uint64_t i = 0; i < nodes_.size() && !nodes_[n].controller; ++i) {
     n = (n + 1) % nodes_.size();
   }
-  network.send("users", nodeApi(static_cast<int>(n)), std::move(q), timeout, std::move(done));
+  toNode(static_cast<int>(n), std::move(q), timeout, std::move(done));
 }
 
 void World::submit(const JobPlan& job) {
@@ -391,19 +391,21 @@
              });
 }
 
-void World::abort(const std::string& id) {
+void World::abort(const std::string& id) { abortThrough(id, -1); }
+
+void World::abortThrough(const std::string& id, int node) {
   users_[id].abortAsked = true;
-  tryAbort(id);
+  tryAbort(id, node);
 }
 
-void World::tryAbort(const std::string& id) {
-  toSomeNode({"POST", "/v2/runs/" + id + "/abort", ""}, 5000,
-             [this, id, askedAt = clock.now()](std::optional<Response> r) {
-               if (r && r->status == 200) return note(id, *r, askedAt);
-               if (r && r->status == 404 && users_[id].accepted)
-                 fail("forgotten", id + " abort got 404");
-               clock.in(1000, [this, id] { tryAbort(id); });
-             });
+void World::tryAbort(const std::string& id, int node) {
+  Request q{"POST", "/v2/runs/" + id + "/abort", ""};
+  auto done = [this, id, askedAt = clock.now()](std::optional<Response> r) {
+    if (r && r->status == 200) return note(id, *r, askedAt);
+    if (r && r->status == 404 && users_[id].accepted) fail("forgotten", id + " abort got 404");
+    clock.in(1000, [this, id] { tryAbort(id); });
+  };
+  node < 0 ? toSomeNode(q, 5000, done) : toNode(node, q, 5000, done);
 }
 
 void World::poll(const std::string& id) {
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -43,7 +43,7 @@
   std::string shape = "batch";
   int tasks = 1;
   double cpus = 1, gpus = 1, ram = 4;
-  double runS = 10;
+  double runS = 10, staggerS = 0;  // task i runs for runS + i x staggerS
   bool together = false, apart = false, spot = false;
   double checkpointS = 0;
   double errsAfterS = -1;  // submitted with a mistake: each task ends in error after this
@@ -65,6 +65,10 @@
   // A job that a member submits under this name of the service's: what its tasks are.
   void expectJob(const JobPlan& job) { users_[job.id].plan = job; }
   void abort(const std::string& id);
+  // The same, asking this controller first.
+  void abortThrough(const std::string& id, int node);
+  // The longest that a task of a cancelled job was on a machine after its user had been told, s.
+  double goneBy() const { return static_cast<double>(goneByMs_) / 1000.0; }
   // From now on every task ends in error on this machine after `s`.
   void makeFaulty(const std::string& host, double s) { faulty_[host] = s; }
   // The mistake is gone.
@@ -188,10 +192,13 @@
   void boot(int node);
   region::RegionSettings regionSettings() const;
   void trySubmit(const std::string& id);
-  void tryAbort(const std::string& id);
+  void tryAbort(const std::string& id, int node = -1);
   void poll(const std::string& id);
   void pollUnknown();
   void toSomeNode(Request q, std::int64_t timeout, OnReply done);
+  void toNode(int node, Request q, std::int64_t timeout, OnReply done) {
+    network.send("users", nodeApi(node), std::move(q), timeout, std::move(done));
+  }
   void note(const std::string& id, const Response& r, std::int64_t askedAt);
   void fail(const std::string& rule, const std::string& what);
   Json spec(const JobPlan& p) const;
@@ -199,6 +206,7 @@
   void watchService();
   std::set<std::string> largest(const std::string& jobClass) const;
   std::unique_ptr<Balancer> balancer_;
+  std::int64_t goneByMs_ = 0;
   std::map<std::string, int> watched_;
   std::map<std::string, double> faulty_;  // by host
   std::vector<Node> nodes_;
--- a/tests/sim/world_checks.cpp
+++ b/tests/sim/world_checks.cpp
@@ -152,7 +152,11 @@
   }
   if (settings.gpusMax > 0 && gpus > settings.gpusMax + 1e-9) fail("quota", name);
   if (ofFlow) return;
-  if (auto& j = users_[task.job]; j.beganAt < 0) j.beganAt = clock.now();
+  auto& j = users_[task.job];
+  if (j.beganAt < 0) j.beganAt = clock.now();
+  if (j.cancelledToldAt >= 0 && clock.now() - j.cancelledToldAt > ms(settings.cancelS)) {
+    fail("ran_cancelled", name + " starts");
+  }
   if (worker.spot && !p->spot) fail("wrong_place", name + ": spot");
   if (!p->zone.empty() && p->zone != worker.zone) fail("wrong_place", name + ": zone");
   if (p->together && perZone.size() > 1) fail("wrong_place", name + ": not together");
@@ -161,13 +165,14 @@
 
 void World::checkCancelled() {
   for (const auto& [id, j] : users_) {
-    if (j.cancelledToldAt < 0 || clock.now() - j.cancelledToldAt <= ms(settings.cancelS)) continue;
+    if (j.cancelledToldAt < 0) continue;
+    std::int64_t since = clock.now() - j.cancelledToldAt;
     for (const auto& [host, w] : workers) {
       for (const auto& t : w->tasks) {
         // A hanging machine does not run its tasks, and past its lease it can't go on with them.
-        if (t.job == id && Worker::on(t) && !w->leaseOver()) {
-          fail("ran_cancelled", id + " on " + host);
-        }
+        if (t.job != id || !Worker::on(t) || w->leaseOver()) continue;
+        goneByMs_ = std::max(goneByMs_, since);
+        if (since > ms(settings.cancelS)) fail("ran_cancelled", id + " on " + host);
       }
     }
   }
