--- a/src/cloud/demand.cpp
+++ b/src/cloud/demand.cpp
@@ -24,6 +24,28 @@
   return tasks / std::max(1.0, perMachine);
 }
 
+// Where machines would help a job's waiting tasks; empty: anywhere. Of a service that is spread, at most
+// half may be in one zone: three of six replicas waited for ever beside an idle machine in the zone of the
+// three others, which counted as room for them.
+std::set<ZoneId> zonesLeft(const Office& o, Fleet& fleet, const JobState& job,
+                           const MachineType& type) {
+  const JobSpec& spec = *job.record.spec;
+  if (spec.zone) return {*spec.zone};
+  if (!spec.spread) return {};
+  std::map<ZoneId, std::uint32_t> perZone;
+  for (const auto& [index, placed] : job.placed) {
+    const auto* record = o.replica.machine(placed.machine);
+    const Machine* m = fleet.find(placed.machine);
+    if (m && m->memory.gone.contains({{spec.id, index}, placed.attempt})) continue;
+    if (record) ++perZone[record->zone];
+  }
+  std::set<ZoneId> left;
+  for (const auto& zone : type.zones) {
+    if (perZone[zone] < spec.zoneLimit()) left.insert(zone);
+  }
+  return left.size() < type.zones.size() ? left : std::set<ZoneId>{};
+}
+
 }  // namespace
 
 std::map<TypeId, std::pair<double, double>> inMachines(const Catalogue& catalogue,
@@ -69,7 +91,9 @@
     auto& d = demand[best->id];
     double share = machinesFor(*best, spec.perTask, count);
     (spec.spotAllowed ? d.flexibleWaiting : d.firmWaiting) += share;
-    if (spec.zone) d.pinnedWaiting[*spec.zone] += share;
+    if (auto zones = zonesLeft(o, fleet, *job, *best); !zones.empty()) {
+      d.pinnedWaiting[zones] += share;
+    }
   }
   return demand;
 }
--- a/src/cloud/renting.cpp
+++ b/src/cloud/renting.cpp
@@ -35,12 +35,14 @@
   return p;
 }
 
-// Spreads `count` rentals over the zones that are not refused, the emptiest first.
-void rent(const RentInput& in, bool spot, int count, Pool& pool, RentDecision& out) {
+// Spreads `count` rentals over the zones that are not refused, the emptiest first; `only`: in these.
+void rent(const RentInput& in, bool spot, int count, Pool& pool, RentDecision& out,
+          const std::set<ZoneId>* only = nullptr) {
   std::map<ZoneId, std::uint32_t> add;
   for (int i = 0; i < count; ++i) {
     const ZoneId* best = nullptr;
     for (const auto& zone : in.type->zones) {
+      if (only && !only->contains(zone)) continue;
       Offer offer{in.type->id, zone, spot};
       if (in.refused.contains(offer) || (in.scarce.contains(offer) && add[zone] > 0)) continue;
       if (!best || pool.perZone[zone] < pool.perZone[*best]) best = &zone;
@@ -106,24 +108,21 @@
   out.ordinaryNeeded = ceilMachines(firm + overflow);
   out.ordinaryTarget = std::max(out.ordinaryNeeded, ordinary.inUse + ceilMachines(waitingHere));
 
-  if (out.spotTarget > spot.have) rent(in, true, out.spotTarget - spot.have, spot, out);
-  if (out.ordinaryTarget > ordinary.have) {
-    rent(in, false, out.ordinaryTarget - ordinary.have, ordinary, out);
-  }
-  for (const auto& [zone, need] : d.pinnedWaiting) {
-    // Room elsewhere does not help this work: machines of its zone that are still to come do.
+  for (const auto& [zones, need] : d.pinnedWaiting) {
+    // Room elsewhere does not help this work: machines of its zones that are still to come do.
     int coming = 0;
-    for (const auto& m : in.machines) coming += m.offer.zone == zone && !m.up && !m.late;
+    for (const auto& m : in.machines) coming += zones.contains(m.offer.zone) && !m.up && !m.late;
     for (const auto& [offer, n] : in.ordered) {
-      if (offer.zone == zone && offer.type == in.type->id) coming += static_cast<int>(n);
+      if (zones.contains(offer.zone) && offer.type == in.type->id) coming += static_cast<int>(n);
     }
-    for (const auto& r : out.rentals)
-      coming += r.offer.zone == zone ? static_cast<int>(r.count) : 0;
-    int missing = ceilMachines(need) - coming;
-    Offer offer{in.type->id, zone, false};
-    if (missing > 0 && !in.refused.contains(offer)) {
-      out.rentals.push_back({offer, static_cast<std::uint32_t>(missing)});
+    for (const auto& r : out.rentals) {
+      coming += zones.contains(r.offer.zone) ? static_cast<int>(r.count) : 0;
     }
+    rent(in, false, ceilMachines(need) - coming, ordinary, out, &zones);
+  }
+  if (out.spotTarget > spot.have) rent(in, true, out.spotTarget - spot.have, spot, out);
+  if (out.ordinaryTarget > ordinary.have) {
+    rent(in, false, out.ordinaryTarget - ordinary.have, ordinary, out);
   }
   if (in.giveBack) {
     if (spot.have > out.spotTarget) giveBack(in, true, spot.have - out.spotTarget, out);
--- a/src/cloud/renting.hpp
+++ b/src/cloud/renting.hpp
@@ -34,7 +34,8 @@
   Prediction firm, flexible;  // of the horizon
   double firmBooked{}, firmWaiting{};
   double flexibleOnSpot{}, flexibleOnOrdinary{}, flexibleWaiting{};
-  std::map<ZoneId, double> pinnedWaiting;  // part of the waiting that only this zone helps
+  // Part of the waiting that only machines in one of these zones help.
+  std::map<std::set<ZoneId>, double> pinnedWaiting;
 };
 
 struct RentInput {
