Running work goes on through an outage in which nobody can have told of a cancellation

Need: in an outage longer than the lease bound every task ended with its lease, though mostly nobody had confirmed anything that the leader did not know. The controllers tell one another the newest revision of any cancellation in their records (mesh hello); where all of that is here, the records are as of that question in the sense of LeaseRenewal.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -37,6 +37,7 @@
       platform_(platform),
       settings_(settings),
       renewal_(platform),
+      witnesses_(platform.peers),
       mesh_(runtime, http, platform),
       stateWay_(runtime, http, mesh_,
                 {"state",
@@ -98,6 +99,9 @@
     }
   };
   feed_.start();
+  mesh_.onAnswer = [this](const Sighting& s, Instant asked) {
+    witnesses_.heard(s.member, asked, s.newestCancellation, replica_.cursor());
+  };
   mesh_.start([this] { return sighting(); }, kMeshEvery);
   tick();
 }
@@ -294,6 +298,7 @@
   s.relays = true;
   s.wallMs = runtime_.wallMillis();
   s.workersAge = std::min(Duration{3600000}, std::max(Duration{0}, runtime_.now() - lastWorker_));
+  if (feed_.loaded()) s.newestCancellation = replica_.newestCancellation();
   s.ready = feed_.loaded() && jobs_.catalogue() != nullptr;
   s.deaf = leader_ && heardMachines() > 0 &&
            s.workersAge > platform_.reportEvery * 3 / 2 + Duration{500};
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -8,6 +8,7 @@
 #include "jobs/service.hpp"
 #include "leadership/election.hpp"
 #include "leadership/mesh.hpp"
+#include "leadership/witnesses.hpp"
 #include "members/service.hpp"
 #include "policy/service.hpp"
 #include "reach/answered.hpp"
@@ -80,6 +81,7 @@
   const Platform& platform_;
   const OperatorSettings& settings_;
   const LeaseRenewal renewal_;
+  Witnesses witnesses_;
   Mesh mesh_;
   Detour stateWay_;
   Detour cloudWay_;
--- a/src/app/controller_links.cpp
+++ b/src/app/controller_links.cpp
@@ -21,7 +21,15 @@
 
 std::optional<Instant> Controller::renewUntil() const {
   if (!feed_.loaded()) return std::nullopt;
-  return renewal_.until(feed_.recordsAsOf());
+  Instant asOf = feed_.recordsAsOf();
+  // Running work need not end when nobody can have told of a cancellation that is not known here. Own
+  // commits that were not read back yet may hide placements, and a flow's are not effective yet.
+  if (auto told = witnesses_.recordsAsOf();
+      told && *told > asOf && feed_.contactAge() > kStoreSilent &&
+      replica_.newestCancellation() <= replica_.cursor() && !replica_.cancelsUnderWay()) {
+    asOf = *told;
+  }
+  return renewal_.until(asOf);
 }
 
 bool Controller::mayRenew() const {
--- a/src/flows/copy.cpp
+++ b/src/flows/copy.cpp
@@ -116,6 +116,9 @@
     FlowState& flow = flows_[id];
     flow.head = value ? flowHeadFrom(*value) : std::nullopt;
     flow.stamp = stamp;
+    if (flow.head && flow.head->phase == FlowPhase::cancelled) {
+      newestCancellation_ = std::max(newestCancellation_, stamp);
+    }
     if (value && !flow.head) logError("flow record can't be read", "flow", id);
     tidy(flows_.find(id));
     return true;
--- a/src/flows/copy.hpp
+++ b/src/flows/copy.hpp
@@ -55,6 +55,8 @@
   std::vector<FlowId> openOf(const std::string& team, const std::string& member) const;
   // Instances of all graphs held, uploads under way included.
   std::size_t instances() const { return instances_; }
+  // Of any flow that is cancelled here.
+  Revision newestCancellation() const { return newestCancellation_; }
 
  private:
   void setPart(FlowVersion& version, std::uint32_t part, const Json* value);
@@ -65,6 +67,7 @@
   std::set<std::pair<FlowId, JobId>> touched_;
   std::set<FlowId> live_;
   std::size_t instances_ = 0;
+  Revision newestCancellation_;
 };
 
 }  // namespace kestrelhoist
--- a/src/leadership/mesh.cpp
+++ b/src/leadership/mesh.cpp
@@ -12,16 +12,18 @@
 }  // namespace
 
 Json toJson(const Sighting& s) {
-  return {{"member", s.member.value},
-          {"token", s.token.value},
-          {"leading", s.leading},
-          {"store_age_ms", s.storeAge.count()},
-          {"cloud_age_ms", s.cloudAge.count()},
-          {"workers_age_ms", s.workersAge.count()},
-          {"ready", s.ready},
-          {"deaf", s.deaf},
-          {"relays", s.relays},
-          {"wall_ms", s.wallMs}};
+  Json v = {{"member", s.member.value},
+            {"token", s.token.value},
+            {"leading", s.leading},
+            {"store_age_ms", s.storeAge.count()},
+            {"cloud_age_ms", s.cloudAge.count()},
+            {"workers_age_ms", s.workersAge.count()},
+            {"ready", s.ready},
+            {"deaf", s.deaf},
+            {"relays", s.relays},
+            {"wall_ms", s.wallMs}};
+  if (s.newestCancellation) v["cancelled_at"] = s.newestCancellation->value;
+  return v;
 }
 
 std::optional<Sighting> sightingFrom(const Json& v) {
@@ -31,6 +33,7 @@
   auto store = countField(v, "store_age_ms");
   auto workers = countField(v, "workers_age_ms");
   if (!member || !token || !leading || !store || !workers) return std::nullopt;
+  auto cancelled = countField(v, "cancelled_at");
   auto wall = static_cast<std::int64_t>(countField(v, "wall_ms").value_or(0));
   return Sighting{MemberId{*member},
                   Token{*token},
@@ -43,7 +46,8 @@
                   Duration{static_cast<std::int64_t>(
                       countField(v, "cloud_age_ms").value_or(kLongAgo.count()))},
                   wall,
-                  std::nullopt};
+                  std::nullopt,
+                  cancelled ? std::optional(Revision{*cancelled}) : std::nullopt};
 }
 
 Mesh::Mesh(Runtime& runtime, HttpClient& http, const Platform& platform)
@@ -69,15 +73,17 @@
             refusals_.try_emplace(member, Refusals{now, now}).first->second.last = now;
           }
           if (!r || r->status != 200) return;
-          if (auto body = decodeBody(r->body)) note(*body);
+          auto body = decodeBody(r->body);
+          auto s = body ? note(*body) : std::nullopt;
+          if (s && s->member == member && onAnswer) onAnswer(*s, asked);
         });
   }
   runtime_.after(every_, [this] { tell(); });
 }
 
-void Mesh::note(const Json& body) {
+std::optional<Sighting> Mesh::note(const Json& body) {
   auto s = sightingFrom(body);
-  if (!s) return;
+  if (!s) return s;
   for (const auto& peer : peers_) {
     if (peer.member != s->member) continue;
     // Older versions tell no time of day.
@@ -86,6 +92,7 @@
     refusals_.erase(s->member);
     if (onNews) onNews();
   }
+  return s;
 }
 
 Response Mesh::onHello(const Request& request) {
--- a/src/leadership/mesh.hpp
+++ b/src/leadership/mesh.hpp
@@ -26,6 +26,8 @@
   std::int64_t wallMs{};       // its time of day as it said so; 0: not told
   // The same against our steady clock, which never steps, when it was said.
   std::optional<std::int64_t> wallLessSteady = std::nullopt;
+  // The newest revision of any cancellation in its records (Witnesses); empty: they are not whole.
+  std::optional<Revision> newestCancellation = std::nullopt;
 };
 
 Json toJson(const Sighting& s);
@@ -57,10 +59,12 @@
   const std::map<MemberId, std::pair<Sighting, Instant>>& sightings() const { return sightings_; }
 
   std::function<void()> onNews;
+  // A peer's answer to what it was asked at that instant.
+  std::function<void(const Sighting&, Instant asked)> onAnswer;
 
  private:
   void tell();
-  void note(const Json& body);
+  std::optional<Sighting> note(const Json& body);
   Runtime& runtime_;
   HttpClient& http_;
   std::vector<Peer> peers_;
--- a/src/store/replica.cpp
+++ b/src/store/replica.cpp
@@ -69,6 +69,17 @@
   return it == stamps_.end() ? Revision{} : it->second;
 }
 
+bool Replica::cancelsUnderWay() const {
+  return std::any_of(flows_.live().begin(), flows_.live().end(), [this](const FlowId& id) {
+    const auto* flow = flows_.find(id);
+    if (!flow || !flow->head || flow->head->phase != FlowPhase::cancelled) return false;
+    return std::any_of(flow->jobs.begin(), flow->jobs.end(), [this](const JobId& id) {
+      const auto* j = job(id);
+      return j && j->active();
+    });
+  });
+}
+
 void Replica::clear() {
   auto slices = std::move(slices_);
   for (auto* slice : slices) slice->clear();
@@ -140,6 +151,9 @@
   job.image = images_.of(record->spec->image);
   job.team = teams_.of(record->spec->team);
   job.record = std::move(*record);
+  if (job.record.phase == JobPhase::cancelled) {
+    newestCancelledJob_ = std::max(newestCancelledJob_, stamp);
+  }
   if (job.record.flow) {
     if (!job.flow) job.flow = std::make_unique<FlowJobState>();
     flows_.addJob(job.record.flow->flow, id);
--- a/src/store/replica.hpp
+++ b/src/store/replica.hpp
@@ -81,6 +81,12 @@
   void add(RecordSlice& slice) { slices_.push_back(&slice); }
 
   Revision cursor() const { return cursor_; }
+  // Of any job or flow that is cancelled in this copy, when it came to be, or was last changed.
+  Revision newestCancellation() const {
+    return std::max(newestCancelledJob_, flows_.newestCancellation());
+  }
+  // A flow was cancelled whose jobs are not yet: its tasks are not stopped by what is here.
+  bool cancelsUnderWay() const;
   Revision stampOf(const std::string& key) const;
 
   const std::map<JobId, JobState>& jobs() const { return jobs_; }
@@ -120,6 +126,7 @@
   Interned<ImageId> images_;
   Interned<TeamId> teams_;
   Revision cursor_;
+  Revision newestCancelledJob_;
   std::unordered_map<std::string, Revision> stamps_;
   std::unordered_map<std::string, Revision> drops_;  // newer than the cursor
   std::map<JobId, JobState> jobs_;
