--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -44,12 +44,12 @@
                  platform.stateAddress,
                  {"GET", std::string("/store/") + keys::kLeader, ""},
                  kStoreTimeout},
-                [](const Sighting& s) { return s.storeAge; }),
+                [](const PeerStatus& s) { return s.storeAge; }),
       cloudWay_(
           runtime, http, mesh_,
           {"cloud", platform.cloudAddress, {"GET", "/machine_types", ""}, 3 * kStoreTimeout},
           // Only leaders ask the cloud: of a follower it is mostly not known, and worth a try.
-          [](const Sighting& s) { return s.cloudAge < kUnknownAfter ? s.cloudAge : Duration{0}; }),
+          [](const PeerStatus& s) { return s.cloudAge < kUnknownAfter ? s.cloudAge : Duration{0}; }),
       workerLine_(runtime, http, mesh_),
       relay_(runtime, mesh_, platform.member),
       store_(runtime, stateWay_, platform.stateAddress,
@@ -99,10 +99,10 @@
     }
   };
   feed_.start();
-  mesh_.onAnswer = [this](const Sighting& s, Instant asked) {
+  mesh_.onAnswer = [this](const PeerStatus& s, Instant asked) {
     witnesses_.heard(s.member, asked, s.newestCancellation, replica_.cursor());
   };
-  mesh_.start([this] { return sighting(); }, kMeshEvery);
+  mesh_.start([this] { return status(); }, kMeshEvery);
   tick();
 }
 
@@ -243,7 +243,7 @@
 void Controller::watchOffice() {
   if (!election_.leads()) return;
   Instant now = runtime_.now();
-  for (const auto& [member, seen] : mesh_.sightings()) {
+  for (const auto& [member, seen] : mesh_.statuses()) {
     if (seen.first.token > election_.token()) {
       return leaveOffice("member " + member.value + " knows a higher token", false, Duration{500});
     }
@@ -283,8 +283,8 @@
   }
 }
 
-Sighting Controller::sighting() const {
-  Sighting s;
+PeerStatus Controller::status() const {
+  PeerStatus s;
   s.member = platform_.member;
   s.token = std::max(election_.leads() ? election_.token() : Token{}, replica_.leaderToken());
   s.leading = leader_ != nullptr;
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -70,7 +70,7 @@
   void askPeersForAnswered();
   bool onMeshService(const Request& request, const Respond& respond);
   Response ready();
-  Sighting sighting() const;
+  PeerStatus status() const;
   std::int64_t timeOfDay() const;
   // How many machines this leadership has heard.
   std::size_t heardMachines() const;
--- a/src/leadership/mesh.cpp
+++ b/src/leadership/mesh.cpp
@@ -11,7 +11,7 @@
 constexpr Duration kLongerThanARestart{10000};
 }  // namespace
 
-Json toJson(const Sighting& s) {
+Json toJson(const PeerStatus& s) {
   Json v = {{"member", s.member.value},
             {"token", s.token.value},
             {"leading", s.leading},
@@ -26,7 +26,7 @@
   return v;
 }
 
-std::optional<Sighting> sightingFrom(const Json& v) {
+std::optional<PeerStatus> peerStatusFrom(const Json& v) {
   auto member = textField(v, "member");
   auto token = countField(v, "token");
   auto leading = boolField(v, "leading");
@@ -35,7 +35,7 @@
   if (!member || !token || !leading || !store || !workers) return std::nullopt;
   auto cancelled = countField(v, "cancelled_at");
   auto wall = static_cast<std::int64_t>(countField(v, "wall_ms").value_or(0));
-  return Sighting{MemberId{*member},
+  return PeerStatus{MemberId{*member},
                   Token{*token},
                   *leading,
                   Duration{static_cast<std::int64_t>(*store)},
@@ -53,7 +53,7 @@
 Mesh::Mesh(Runtime& runtime, HttpClient& http, const Platform& platform)
     : runtime_(runtime), http_(http), peers_(platform.peers) {}
 
-void Mesh::start(std::function<Sighting()> own, Duration every) {
+void Mesh::start(std::function<PeerStatus()> own, Duration every) {
   own_ = std::move(own);
   every_ = every;
   tell();
@@ -81,14 +81,14 @@
   runtime_.after(every_, [this] { tell(); });
 }
 
-std::optional<Sighting> Mesh::note(const Json& body) {
-  auto s = sightingFrom(body);
+std::optional<PeerStatus> Mesh::note(const Json& body) {
+  auto s = peerStatusFrom(body);
   if (!s) return s;
   for (const auto& peer : peers_) {
     if (peer.member != s->member) continue;
     // Older versions tell no time of day.
     if (s->wallMs > 0) s->wallLessSteady = s->wallMs - runtime_.now().ms;
-    sightings_[s->member] = {*s, runtime_.now()};
+    statuses_[s->member] = {*s, runtime_.now()};
     refusals_.erase(s->member);
     if (onNews) onNews();
   }
@@ -125,9 +125,9 @@
   send(member, std::move(passed), timeout, std::move(done));
 }
 
-const Sighting* Mesh::heard(const MemberId& peer, Duration within) const {
-  auto it = sightings_.find(peer);
-  if (it == sightings_.end() || runtime_.now() - it->second.second > within) return nullptr;
+const PeerStatus* Mesh::heard(const MemberId& peer, Duration within) const {
+  auto it = statuses_.find(peer);
+  if (it == statuses_.end() || runtime_.now() - it->second.second > within) return nullptr;
   return &it->second.first;
 }
 
@@ -139,8 +139,8 @@
 
 std::optional<MemberId> Mesh::peerWithStore(Instant failing) const {
   for (const auto& peer : peers_) {
-    auto it = sightings_.find(peer.member);
-    if (it == sightings_.end()) continue;
+    auto it = statuses_.find(peer.member);
+    if (it == statuses_.end()) continue;
     const auto& [seen, heardAt] = it->second;
     bool current = runtime_.now() - heardAt < Duration{1500};
     if (current && seen.ready && heardAt - seen.storeAge > failing + kAnswerUnderWay) {
--- a/src/leadership/mesh.hpp
+++ b/src/leadership/mesh.hpp
@@ -13,7 +13,7 @@
 // A peer's answer in the name of a service or worker that it asked in vain; none of them gives it.
 inline constexpr int kNotReached = 502;
 
-struct Sighting {
+struct PeerStatus {
   MemberId member;
   Token token;  // highest known
   bool leading{};
@@ -30,15 +30,15 @@
   std::optional<Revision> newestCancellation = std::nullopt;
 };
 
-Json toJson(const Sighting& s);
-std::optional<Sighting> sightingFrom(const Json& v);
+Json toJson(const PeerStatus& s);
+std::optional<PeerStatus> peerStatusFrom(const Json& v);
 
 class Mesh {
  public:
   Mesh(Runtime& runtime, HttpClient& http, const Platform& platform);
 
   // Sends `own()` to every peer now and then.
-  void start(std::function<Sighting()> own, Duration every);
+  void start(std::function<PeerStatus()> own, Duration every);
   Response onHello(const Request& request);
   // Tells the leader to read at once.
   void nudge(const MemberId& leader);
@@ -48,7 +48,7 @@
   void forward(const MemberId& peer, const Request& request, Duration timeout, OnReply done);
 
   // What a peer said no longer ago than `within`.
-  const Sighting* heard(const MemberId& peer, Duration within) const;
+  const PeerStatus* heard(const MemberId& peer, Duration within) const;
   // Whether the peer may be at work out of our sight. One that refused a connection since it was
   // last heard has most likely ended, and has nothing to work with until it has read the records;
   // but a process that ends is started again soon, so long refusals come from a filter between us.
@@ -56,25 +56,25 @@
   // A peer that has reached the state service since `failing`, when it began to fail here. A peer
   // that reached it shortly before may be in the same outage.
   std::optional<MemberId> peerWithStore(Instant failing) const;
-  const std::map<MemberId, std::pair<Sighting, Instant>>& sightings() const { return sightings_; }
+  const std::map<MemberId, std::pair<PeerStatus, Instant>>& statuses() const { return statuses_; }
 
   std::function<void()> onNews;
   // A peer's answer to what it was asked at that instant.
-  std::function<void(const Sighting&, Instant asked)> onAnswer;
+  std::function<void(const PeerStatus&, Instant asked)> onAnswer;
 
  private:
   void tell();
-  std::optional<Sighting> note(const Json& body);
+  std::optional<PeerStatus> note(const Json& body);
   Runtime& runtime_;
   HttpClient& http_;
   std::vector<Peer> peers_;
-  std::map<MemberId, std::pair<Sighting, Instant>> sightings_;
+  std::map<MemberId, std::pair<PeerStatus, Instant>> statuses_;
   std::map<MemberId, bool> asking_;
   struct Refusals {
     Instant first, last;
   };
   std::map<MemberId, Refusals> refusals_;  // since the peer was last heard
-  std::function<Sighting()> own_;
+  std::function<PeerStatus()> own_;
   Duration every_{1000};
 };
 
--- a/src/leadership/mesh_test.cpp
+++ b/src/leadership/mesh_test.cpp
@@ -15,10 +15,10 @@
   Platform platform;
   platform.peers.push_back({MemberId{"peer"}, ZoneId{"a"}, "peer:1"});
   Mesh mesh(runtime, runtime, platform);
-  mesh.start([] { return Sighting{MemberId{"me"}, {}, false, {}, {}, true}; }, Duration{500});
+  mesh.start([] { return PeerStatus{MemberId{"me"}, {}, false, {}, {}, true}; }, Duration{500});
   clock.runUntil(10000);
   auto hear = [&](int storeAgeMs) {
-    Sighting s{MemberId{"peer"}, {}, false, Duration{storeAgeMs}, {}, true};
+    PeerStatus s{MemberId{"peer"}, {}, false, Duration{storeAgeMs}, {}, true};
     mesh.onHello({"POST", "/mesh/hello", encodeBody(toJson(s))});
   };
   // Reads fail here since 9.0 s.
@@ -42,13 +42,13 @@
   platform.peers.push_back({peer, ZoneId{"a"}, "peer:1"});  // nobody listens there
   Mesh mesh(runtime, runtime, platform);
   EXPECT_TRUE(mesh.mayLive(peer));
-  mesh.start([] { return Sighting{MemberId{"me"}, {}, false, {}, {}, true}; }, Duration{500});
+  mesh.start([] { return PeerStatus{MemberId{"me"}, {}, false, {}, {}, true}; }, Duration{500});
   clock.runUntil(3000);
   EXPECT_FALSE(mesh.mayLive(peer));
   clock.runUntil(15000);
   EXPECT_TRUE(mesh.mayLive(peer));
   mesh.onHello(
-      {"POST", "/mesh/hello", encodeBody(toJson(Sighting{peer, {}, false, {}, {}, true}))});
+      {"POST", "/mesh/hello", encodeBody(toJson(PeerStatus{peer, {}, false, {}, {}, true}))});
   EXPECT_TRUE(mesh.mayLive(peer));
   clock.runUntil(17000);
   EXPECT_FALSE(mesh.mayLive(peer));
--- a/src/reach/detour.cpp
+++ b/src/reach/detour.cpp
@@ -23,7 +23,7 @@
 }
 
 Detour::Detour(Runtime& runtime, HttpClient& http, Mesh& mesh, Settings settings,
-               std::function<Duration(const Sighting&)> ageAt)
+               std::function<Duration(const PeerStatus&)> ageAt)
     : runtime_(runtime),
       http_(http),
       mesh_(mesh),
@@ -34,10 +34,10 @@
   DetourView v;
   v.failingSince = link_.failingSince();
   Instant now = runtime_.now();
-  for (const auto& [member, seen] : mesh_.sightings()) {
-    const auto& [sighting, heardAt] = seen;
+  for (const auto& [member, seen] : mesh_.statuses()) {
+    const auto& [status, heardAt] = seen;
     auto block = blockedUntil_.find(member);
-    v.peers.push_back({member, sighting.relays, heardAt - ageAt_(sighting), now - heardAt < kHeard,
+    v.peers.push_back({member, status.relays, heardAt - ageAt_(status), now - heardAt < kHeard,
                        block != blockedUntil_.end() && now < block->second});
   }
   return v;
--- a/src/reach/detour.hpp
+++ b/src/reach/detour.hpp
@@ -38,7 +38,7 @@
   };
   // `ageAt`: how long ago a peer reached the service by its own link, by what it last told.
   Detour(Runtime& runtime, HttpClient& http, Mesh& mesh, Settings settings,
-         std::function<Duration(const Sighting&)> ageAt);
+         std::function<Duration(const PeerStatus&)> ageAt);
 
   void send(const std::string& address, Request request, Duration timeout, OnReply done) override;
   // A peer asks for a detour: always by the own link, so that detours never go in circles.
@@ -56,7 +56,7 @@
   HttpClient& http_;
   Mesh& mesh_;
   Settings settings_;
-  std::function<Duration(const Sighting&)> ageAt_;
+  std::function<Duration(const PeerStatus&)> ageAt_;
   Link link_;
   std::map<MemberId, Instant> blockedUntil_;
   Instant probedAt_{};
--- a/src/reach/relay.cpp
+++ b/src/reach/relay.cpp
@@ -140,12 +140,12 @@
   std::tuple<bool, bool, Duration> bestRank{};
   Instant now = runtime_.now();
   auto via = via_.find(address);
-  for (const auto& [member, seen] : mesh_.sightings()) {
-    const auto& [sighting, heardAt] = seen;
-    if (!sighting.relays || now - heardAt >= kPatience) continue;
+  for (const auto& [member, seen] : mesh_.statuses()) {
+    const auto& [status, heardAt] = seen;
+    if (!status.relays || now - heardAt >= kPatience) continue;
     auto failed = failedThrough_.find(member);
     bool doubtful = failed != failedThrough_.end() && now - failed->second < kTryAgainAfter;
-    std::tuple rank{doubtful, via == via_.end() || via->second.peer != member, sighting.workersAge};
+    std::tuple rank{doubtful, via == via_.end() || via->second.peer != member, status.workersAge};
     if (!best || rank < bestRank) {
       best = member;
       bestRank = rank;
