--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -61,7 +61,7 @@
   // As the leader. `via`: the peer that passed the report on.
   Response serveReport(const Report& report, const std::optional<MemberId>& via);
   ReportView reportView(const Report& report) const;
-  Response bareAnswer(const Report& report) const;
+  Response leaseOnlyAnswer(const Report& report) const;
   // Until when leases may be renewed; empty: not at all. Every 200 to a worker asks it.
   std::optional<Instant> renewUntil() const;
   bool mayRenew() const;
--- a/src/app/controller_links.cpp
+++ b/src/app/controller_links.cpp
@@ -76,7 +76,7 @@
     bool fresh = here != answered_.all().end() &&
                  v.now - here->second < platform_.reportEvery * 5 / 4 + Duration{1500};
     v.mayPoint = scouts_.may(*v.holder, report.tasks.empty(), v.now) &&
-                 (fresh || report.tasks.empty() || !mayAnswerBare(v));
+                 (fresh || report.tasks.empty() || !mayRenewAlone(v));
   }
   return v;
 }
@@ -85,7 +85,7 @@
 // controller know. Nothing is launched or cleared, and nothing is proven by it. Tasks of jobs that
 // are known to be over are stopped, those included that it may still be told to launch: whoever
 // keeps leases up must not keep up what was cancelled.
-Response Controller::bareAnswer(const Report& report) const {
+Response Controller::leaseOnlyAnswer(const Report& report) const {
   auto over = [this](const JobId& id) {
     const auto* job = replica_.job(id);
     return job && !job->active();
@@ -118,8 +118,8 @@
   };
   auto go = [this, answer](const Report& report, const Route& route) {
     switch (route.way) {
-      case Way::bare:
-        return answer(bareAnswer(report));
+      case Way::leaseOnly:
+        return answer(leaseOnlyAnswer(report));
       case Way::sendTo:
       case Way::refuse:
       default:
--- a/src/reach/reach_test.cpp
+++ b/src/reach/reach_test.cpp
@@ -40,16 +40,16 @@
   EXPECT_EQ(routeReport(v).to, kPeer);
   // Back from there a moment ago: it did not get through.
   v.sentAwayAgo = Duration{5000};
-  EXPECT_EQ(routeReport(v).way, Way::bare);
+  EXPECT_EQ(routeReport(v).way, Way::leaseOnly);
   v.sentAwayAgo = Duration{7000};
   EXPECT_EQ(routeReport(v).way, Way::sendTo);
 }
 
-TEST(Route, BareOnlyWithinTheBoundAndUnderAKnownToken) {
+TEST(Route, LeaseOnlyWithinTheBoundAndUnderAKnownToken) {
   auto v = alone();
-  EXPECT_EQ(routeReport(v).way, Way::bare);
+  EXPECT_EQ(routeReport(v).way, Way::leaseOnly);
   v.renewUntil = v.now;
-  EXPECT_EQ(routeReport(v).way, Way::bare);
+  EXPECT_EQ(routeReport(v).way, Way::leaseOnly);
   v.renewUntil = v.now - Duration{1};  // a cancellation might be unknown for too long
   EXPECT_EQ(routeReport(v).way, Way::refuse);
   v = alone();
@@ -67,7 +67,7 @@
   auto v = alone();
   v.holder = kPeer;
   v.holderUnheard = Duration{2900};  // its key may outlive it for so long
-  EXPECT_EQ(routeReport(v).way, Way::bare);
+  EXPECT_EQ(routeReport(v).way, Way::leaseOnly);
   v.holderUnheard = Duration{3100};
   EXPECT_EQ(routeReport(v).way, Way::sendTo);
   EXPECT_EQ(routeReport(v).to, kPeer);
@@ -76,11 +76,11 @@
 TEST(Route, CutOffAloneItKeepsItsZonesWorkersAndSendsOthersOn) {
   auto v = alone();
   v.isolated = true;
-  EXPECT_EQ(routeReport(v).way, Way::bare);
+  EXPECT_EQ(routeReport(v).way, Way::leaseOnly);
   v.foreignZone = true;
   EXPECT_EQ(routeReport(v).way, Way::refuse);
   v.sentAwayAgo = Duration{3000};
-  EXPECT_EQ(routeReport(v).way, Way::bare);
+  EXPECT_EQ(routeReport(v).way, Way::leaseOnly);
 }
 
 // Its zone's workers looked dead to the leader, which could hear them.
--- a/src/reach/route.cpp
+++ b/src/reach/route.cpp
@@ -2,7 +2,7 @@
 
 namespace kestrelhoist {
 
-bool mayAnswerBare(const ReportView& v) {
+bool mayRenewAlone(const ReportView& v) {
   return v.renewUntil && v.now <= *v.renewUntil && v.known != Token{} && v.reported <= v.known;
 }
 
@@ -13,19 +13,19 @@
   bool mayMove = !v.sentAwayAgo || *v.sentAwayAgo > v.lease / 2;
   if (v.leader && v.leaderRelays) return {Way::relay, v.leader};
   if (v.leader && v.leaderHears && mayMove) return {Way::sendTo, v.leader};
-  bool bare = mayAnswerBare(v);
+  bool leaseOnly = mayRenewAlone(v);
   if (!v.leader) {
     // The holder renews its lease out of our sight, so it lives: only the link between us is cut.
     if (v.holder && v.holderUnheard > v.keyLife && mayMove && v.mayPoint) return {Way::sendTo, v.holder};
     // Cut off from everything while workers of other zones get here: it is this controller that is
     // cut off, not its zone, so they reach the others, where orders come from.
-    // Its own zone's workers, too, then: kept here on bare answers they look dead to the leader (8 to
+    // Its own zone's workers, too, then: kept here on lease-only answers they look dead to the leader (8 to
     // 16 of 24 replicas were given up), while they could report to it.
     if (v.isolated && (v.foreignZone || v.zonesReach) && mayMove) {
       return {Way::refuse, std::nullopt};
     }
   }
-  if (bare) return {Way::bare, std::nullopt};
+  if (leaseOnly) return {Way::leaseOnly, std::nullopt};
   return {Way::refuse, std::nullopt};
 }
 
--- a/src/reach/route.hpp
+++ b/src/reach/route.hpp
@@ -36,7 +36,7 @@
 enum class Way {
   serve,   // this controller leads
   relay,   // to the leader, whose orders are the answer
-  bare,    // answered without orders: keeps the lease
+  leaseOnly,  // answered in the leader's stead: keeps the lease, and stops what is over
   sendTo,  // 421 that names `to`
   refuse,  // 421 without a name
 };
@@ -50,6 +50,6 @@
 
 // Whether a report may be answered without the leader: the copy is young enough that a cancellation
 // it may miss still takes its tasks off in time, and the token is one that the worker accepts.
-bool mayAnswerBare(const ReportView& v);
+bool mayRenewAlone(const ReportView& v);
 
 }  // namespace kestrelhoist
