--- a/src/fleet/dispatch.cpp
+++ b/src/fleet/dispatch.cpp
@@ -122,7 +122,7 @@
   std::erase_if(orders, [](const Order& o) { return o.kind == Order::Kind::clear; });
   if (orders.empty()) return;
   for (const auto& o : orders) {
-    if (o.kind == Order::Kind::launch) m->memory.tainted.insert(o.id);
+    if (o.kind == Order::Kind::launch) m->memory.inDoubt.insert(o.id);
   }
   Tenure tenure = m->memory.last->tenure;
   Request request{"POST", "/commands", encodeBody(commandsToJson(o_.token, tenure, orders))};
@@ -132,10 +132,10 @@
                  if (!machine || !r) return;  // no answer: launches may still arrive
                  if (r->status != 200 && r->status != 409 && r->status != 400) return;
                  if (machine->memory.last && machine->memory.last->tenure == tenure) {
-                   auto& tainted = machine->memory.tainted;
+                   auto& inDoubt = machine->memory.inDoubt;
                    for (const auto& o : orders) {
                      if (o.kind != Order::Kind::launch) continue;
-                     if (auto own = tainted.find(o.id); own != tainted.end()) tainted.erase(own);
+                     if (auto own = inDoubt.find(o.id); own != inDoubt.end()) inDoubt.erase(own);
                    }
                  }
                  if (r->status == 400) return;
--- a/src/fleet/reconcile.cpp
+++ b/src/fleet/reconcile.cpp
@@ -38,7 +38,7 @@
   }
   if (m.last && report.tenure > m.last->tenure) {
     // A new session: direct commands of the old one are refused from now on.
-    m.tainted.clear();
+    m.inDoubt.clear();
     m.launched.clear();
     m.lastBeat = {};
   }
@@ -82,7 +82,7 @@
       // Told to launch in answer to this very report, or by an earlier leader whose orders this
       // worker may still obey: absence proves nothing yet.
       if (report.token != token) continue;
-      if (m.tainted.contains(id)) {
+      if (m.inDoubt.contains(id)) {
         addSettled(orders, id);
         m.launched[id] = report.tick;
         continue;
@@ -110,7 +110,7 @@
     if (task.state != TaskState::ended) {
       // On no record, so nobody may run it here.
       add(Order::Kind::stop, task.id);
-    } else if (!m.tainted.contains(task.id)) {
+    } else if (!m.inDoubt.contains(task.id)) {
       // Its end is committed: the record no longer has it.
       add(Order::Kind::clear, task.id);
     }
--- a/src/fleet/reconcile.hpp
+++ b/src/fleet/reconcile.hpp
@@ -29,7 +29,7 @@
   // the attempt for good, so these are proven gone only as `ended`, and never cleared.
   // Once for each such command: an answer to another one with the same launch, which may have gone
   // another way, says nothing of it.
-  std::multiset<AttemptId> tainted;
+  std::multiset<AttemptId> inDoubt;
   std::map<AttemptId, Duration> stops;  // asked for, with the time to save
   std::map<AttemptId, Gone> gone;       // proven, to be committed
 };
--- a/src/fleet/reconcile_test.cpp
+++ b/src/fleet/reconcile_test.cpp
@@ -78,7 +78,7 @@
 }
 
 TEST_F(Fixture, ALateDirectLaunchIsMadeHarmlessBeforeTheTaskIsGivenUp) {
-  memory.tainted.insert(kTask);
+  memory.inDoubt.insert(kTask);
   stop = true;
   auto orders = hear(report(2, 1, 5));
   EXPECT_FALSE(gone());
@@ -97,10 +97,10 @@
 }
 
 // Two commands with the same launch, by two ways: the answer to one says nothing of the other.
-TEST_F(Fixture, AnAttemptStaysTaintedForEachCommandWithoutAnAnswer) {
-  memory.tainted.insert(kTask);
-  memory.tainted.insert(kTask);
-  memory.tainted.erase(memory.tainted.find(kTask));
+TEST_F(Fixture, AnAttemptStaysInDoubtForEachCommandWithoutAnAnswer) {
+  memory.inDoubt.insert(kTask);
+  memory.inDoubt.insert(kTask);
+  memory.inDoubt.erase(memory.inDoubt.find(kTask));
   auto ended = report(2, 1, 5);
   ended.tasks.push_back({kTask, TaskState::ended, EndCause::stopped});
   hear(ended);
@@ -171,7 +171,7 @@
     record.tasks.push_back({{{JobId{"j-000002"}, i}, Attempt{7}}, Tenure{2}, nullptr});
   }
   record.tasks.push_back({kTask, Tenure{2}, nullptr});
-  memory.tainted.insert(kTask);
+  memory.inDoubt.insert(kTask);
   takeReport(memory, report(2, 1, 5), Instant{0});
   auto orders = reconcile(memory, &record, Token{5}, true, [&](const AttemptId& id) {
     return Wish{id == kTask, Duration{0}};
