--- a/src/leadership/witnesses_test.cpp
+++ b/src/leadership/witnesses_test.cpp
@@ -26,11 +26,17 @@
   EXPECT_EQ(witnesses.recordsAsOf(), Instant{5000});
 }
 
-TEST_F(Told, APeerWithSomethingNewerOrWithoutRecordsIsNoWitness) {
-  hear("b", 5000, Revision{100});
+TEST_F(Told, APeerWithSomethingNewerIsNoWitness) {
+  hear("b", 9000, Revision{100});
   hear("c", 5000, Revision{100});
   hear("c", 9000, Revision{101});  // cancelled there, and not known here
-  hear("b", 9000, std::nullopt);   // has just started: what its earlier life told is not known
+  EXPECT_EQ(witnesses.recordsAsOf(), Instant{5000});
+}
+
+TEST_F(Told, APeerThatHasNotReadAllIsNoWitness) {
+  hear("b", 9000, Revision{100});
+  hear("c", 5000, Revision{100});
+  hear("c", 9000, std::nullopt);  // has just started: what its earlier life told is not known
   EXPECT_EQ(witnesses.recordsAsOf(), Instant{5000});
 }
 
