--- a/examples/client/tour.cpp
+++ b/examples/client/tour.cpp
@@ -1,8 +1,7 @@
 // The whole client in one program: submit a batch once, watch it, list, cancel, and act on errors.
 // Settings come from HOIST_SERVERS and HOIST_KEY, or from hoist.json.
-#include <kestrelhoist/client.hpp>
-
 #include <cstdio>
+#include <kestrelhoist/client.hpp>
 
 using namespace kestrelhoist::client;
 
--- a/hoist/admin_main.cpp
+++ b/hoist/admin_main.cpp
@@ -1,4 +1,5 @@
-// hoist-admin: keys of members, why a job waits, the policy and who pays; for operators and those whose key permits it.
+// hoist-admin: keys of members, why a job waits, the policy and who pays; for operators and those
+// whose key permits it.
 #include <cstdio>
 
 #include "base/log.hpp"
@@ -48,7 +49,8 @@
     return validJobId(id) ? std::string() : "not a job's id: " + id;
   });
   why->footer("Example: hoist-admin --server 10.0.0.1:8080 why j-000412");
-  auto* policy = app.add_subcommand("policy", "calendar, continuity and pools, for all controllers");
+  auto* policy =
+      app.add_subcommand("policy", "calendar, continuity and pools, for all controllers");
   policy->require_subcommand(1);
   policy->footer("--server: the address at which controllers speak to each other (mesh_addr)");
   std::string file;
@@ -63,7 +65,8 @@
   auto* history = policy->add_subcommand("history", "the last versions");
   auto* pool = app.add_subcommand("pool", "machines that hold images ahead of a burst");
   pool->require_subcommand(1);
-  auto* poolShow = pool->add_subcommand("show", "each image: how many machines shall hold it, and do");
+  auto* poolShow =
+      pool->add_subcommand("show", "each image: how many machines shall hold it, and do");
   auto* pay = pool->add_subcommand("pay", "what a team has paid, by hour and day");
   std::string team;
   pay->add_option("team", team)->required();
--- a/hoist/commands.cpp
+++ b/hoist/commands.cpp
@@ -141,7 +141,8 @@
   return s;
 }
 
-Session::Session(const Options& options) : o_(options), settings_(clientSettings(options)) {
+Session::Session(const Options& options)
+    : leadership_(options), settings_(clientSettings(options)) {
   http_ = std::make_unique<EvHttpClient>(loop_, 8);
   if (settings_.tls) {
     http_->secure("", std::make_shared<TlsClient>(settings_.authority), settings_.serverName);
@@ -165,19 +166,21 @@
 
 FlowClient::Result Session::get(const std::string& path) {
   return wait([&](FlowClient::Done done) {
-    client_->get(path, fromSeconds(o_.timeoutS), std::move(done));
+    client_->get(path, fromSeconds(leadership_.timeoutS), std::move(done));
   });
 }
 
 void Session::print(const Json& value, const std::string& text) const {
-  if (o_.json) {
+  if (leadership_.json) {
     std::cout << value.dump(-1, ' ', false, Json::error_handler_t::replace) << std::endl;
   } else {
     std::cout << text << std::flush;
   }
 }
 
-int Session::ended(const FlowClient::Result& r) const { return r ? kOk : told(r.error(), o_.json); }
+int Session::ended(const FlowClient::Result& r) const {
+  return r ? kOk : told(r.error(), leadership_.json);
+}
 
 std::string Session::directoryOf(const FlowId& id) const {
   return settings_.files + "/" + settings_.team + "/" + settings_.member + "/" + id.value;
@@ -195,11 +198,12 @@
   FlowOrder order;
   order.team = settings_.team;
   order.member = settings_.member;
-  order.rank = o_.rank;
-  order.keepGoing = o_.keepGoing;
+  order.rank = leadership_.rank;
+  order.keepGoing = leadership_.keepGoing;
   std::error_code error;
-  order.name =
-      o_.name.empty() ? fs::weakly_canonical(file.directory, error).filename().string() : o_.name;
+  order.name = leadership_.name.empty()
+                   ? fs::weakly_canonical(file.directory, error).filename().string()
+                   : leadership_.name;
   std::string clean;
   for (char c : order.name)
     clean +=
@@ -235,9 +239,9 @@
                   {"image", options.file.image},
                   {"spot", options.file.spot},
                   {"set", options.set},
-                  {"name", o_.name},
-                  {"rank", o_.rank},
-                  {"keep_going", o_.keepGoing}};
+                  {"name", leadership_.name},
+                  {"rank", leadership_.rank},
+                  {"keep_going", leadership_.keepGoing}};
   fs::path part = to / ".hoist" / ("request-" + std::to_string(getpid()));
   std::ofstream(part) << request.dump() << "\n";
   fs::rename(part, to / ".hoist" / "request.json", error);
@@ -245,20 +249,20 @@
 }
 
 int Session::submit(bool thenFollow) {
-  PlannedFile file = planned(o_);
+  PlannedFile file = planned(leadership_);
   addReplans(file);
   if (file.plan.instances.empty()) {
     print({{"instances", 0}}, "nothing is to be made\n");
     return kOk;
   }
   FlowOrder flow = order(file);
-  flow.id = o_.flow.empty() ? client_->drawId() : FlowId{o_.flow};
+  flow.id = leadership_.flow.empty() ? client_->drawId() : FlowId{leadership_.flow};
   if (!validFlowId(flow.id.value))
     throw std::runtime_error("an id is w- and up to 18 digits, not " + flow.id.value);
-  stage(file, flow.id, o_);
+  stage(file, flow.id, leadership_);
   auto bundle = rules::bundle(file.plan);
   auto r = wait([&](FlowClient::Done done) {
-    client_->submit(flow, bundle, 0, fromSeconds(o_.timeoutS), std::move(done));
+    client_->submit(flow, bundle, 0, fromSeconds(leadership_.timeoutS), std::move(done));
   });
   if (int code = ended(r)) {
     std::fprintf(stderr, "hoist: the flow's id is %s\n", flow.id.value.c_str());
@@ -271,10 +275,10 @@
   return thenFollow ? follow(flow.id) : kOk;
 }
 
-int Session::follow() { return follow(FlowId{o_.flow}); }
+int Session::follow() { return follow(FlowId{leadership_.flow}); }
 
 int Session::follow(const FlowId& id) {
-  bool terminal = isatty(STDOUT_FILENO) != 0 && !o_.json;
+  bool terminal = isatty(STDOUT_FILENO) != 0 && !leadership_.json;
   std::string last;
   std::uint32_t doneAtStart = 0;
   bool first = true;
@@ -311,7 +315,7 @@
                  count(v, "running") + count(v, "queued") + count(v, "waiting") == 0;
     if (phase != "open" || stuck) {
       if (terminal) std::cout << "\n";
-      if (!o_.json)
+      if (!leadership_.json)
         std::cout << id.value << " "
                   << (stuck ? "waits for an amendment: hoist flow amend " + id.value + " FILE"
                             : phase)
@@ -327,7 +331,7 @@
 }
 
 int Session::status() {
-  FlowId id{o_.flow};
+  FlowId id{leadership_.flow};
   auto r = get("/v2/flows/" + id.value);
   if (int code = ended(r)) return code;
   Json v = r->body;
@@ -371,20 +375,20 @@
 }
 
 int Session::amend() {
-  PlannedFile file = planned(o_);
+  PlannedFile file = planned(leadership_);
   addReplans(file);
   FlowOrder flow = order(file);
-  flow.id = FlowId{o_.flow};
-  std::uint64_t base = o_.base;
+  flow.id = FlowId{leadership_.flow};
+  std::uint64_t base = leadership_.base;
   if (base == 0) {
-    auto r = get("/v2/flows/" + o_.flow);
+    auto r = get("/v2/flows/" + leadership_.flow);
     if (int code = ended(r)) return code;
     base = countField(r->body, "version").value_or(0);
   }
-  stage(file, flow.id, o_);
+  stage(file, flow.id, leadership_);
   auto bundle = rules::bundle(file.plan);
   auto r = wait([&](FlowClient::Done done) {
-    client_->submit(flow, bundle, base, fromSeconds(o_.timeoutS), std::move(done));
+    client_->submit(flow, bundle, base, fromSeconds(leadership_.timeoutS), std::move(done));
   });
   if (int code = ended(r)) return code;
   print(r->body, flow.id.value + ": version " + std::to_string(count(r->body, "version")) + ", " +
@@ -394,10 +398,10 @@
 
 int Session::cancel() {
   auto r = wait([&](FlowClient::Done done) {
-    client_->cancel(FlowId{o_.flow}, fromSeconds(o_.timeoutS), std::move(done));
+    client_->cancel(FlowId{leadership_.flow}, fromSeconds(leadership_.timeoutS), std::move(done));
   });
   if (int code = ended(r)) return code;
-  print(r->body, o_.flow + ": " + textField(r->body, "phase").value_or("") + "\n");
+  print(r->body, leadership_.flow + ": " + textField(r->body, "phase").value_or("") + "\n");
   return kOk;
 }
 
@@ -424,7 +428,7 @@
 }  // namespace
 
 int Session::report() {
-  auto r = get("/v2/flows/" + o_.flow + "/report");
+  auto r = get("/v2/flows/" + leadership_.flow + "/report");
   if (int code = ended(r)) return code;
   print(r->body, useTable(r->body, "rules", "rule"));
   return kOk;
@@ -459,8 +463,8 @@
   }
   if (const Json* waits = why ? field(*why, "waits") : nullptr; waits && waits->is_array()) {
     for (const auto& w : *waits) {
-      text += std::to_string(count(w, "tasks")) + " wait: " +
-              textField(w, "why").value_or("?") + "\n";
+      text +=
+          std::to_string(count(w, "tasks")) + " wait: " + textField(w, "why").value_or("?") + "\n";
     }
   }
   print(v, text);
@@ -493,28 +497,28 @@
   const char* flow = std::getenv("HOIST_FLOW");
   if (!request.is_object() || !flow)
     throw std::runtime_error("replan runs in a flow's directory, as one of its tasks");
-  o_.file.path = textField(request, "file").value_or("");
-  o_.file.directory = ".";
-  o_.file.targets = request.value("targets", std::vector<std::string>{});
-  o_.file.language = textField(request, "language").value_or("");
-  o_.file.image = textField(request, "image").value_or("default");
-  o_.file.spot = boolField(request, "spot").value_or(true);
-  o_.set = request.value("set", std::vector<std::string>{});
-  o_.name = textField(request, "name").value_or("");
-  o_.rank = textField(request, "rank").value_or("best_effort");
-  o_.keepGoing = boolField(request, "keep_going").value_or(false);
-  o_.flow = flow;
-  PlannedFile file = planned(o_);
+  leadership_.file.path = textField(request, "file").value_or("");
+  leadership_.file.directory = ".";
+  leadership_.file.targets = request.value("targets", std::vector<std::string>{});
+  leadership_.file.language = textField(request, "language").value_or("");
+  leadership_.file.image = textField(request, "image").value_or("default");
+  leadership_.file.spot = boolField(request, "spot").value_or(true);
+  leadership_.set = request.value("set", std::vector<std::string>{});
+  leadership_.name = textField(request, "name").value_or("");
+  leadership_.rank = textField(request, "rank").value_or("best_effort");
+  leadership_.keepGoing = boolField(request, "keep_going").value_or(false);
+  leadership_.flow = flow;
+  PlannedFile file = planned(leadership_);
   addReplans(file);
   auto bundle = rules::bundle(file.plan);
-  auto r = get("/v2/flows/" + o_.flow);
+  auto r = get("/v2/flows/" + leadership_.flow);
   if (int code = ended(r)) return code;
   if (textField(r->body, "graph") == bundle.version.value) return kOk;
   FlowOrder amended = order(file);
-  amended.id = FlowId{o_.flow};
+  amended.id = FlowId{leadership_.flow};
   auto result = wait([&](FlowClient::Done done) {
     client_->submit(amended, bundle, countField(r->body, "version").value_or(0),
-                    fromSeconds(o_.timeoutS), std::move(done));
+                    fromSeconds(leadership_.timeoutS), std::move(done));
   });
   // Tried again from the version that was first.
   return !result && result.error().kind == client::ErrorKind::conflict ? kConflict : ended(result);
--- a/hoist/job_main.cpp
+++ b/hoist/job_main.cpp
@@ -3,71 +3,77 @@
 namespace kestrelhoist::hoist {
 
 JobCommands::JobCommands(CLI::App& app) {
-  o_.job.jobClass = "";
+  leadership_.job.jobClass = "";
   CLI::App* job = app.add_subcommand("job", "jobs, one by one");
   job->require_subcommand(1);
-  auto ids = [&](CLI::App* c, const char* what) { return c->add_option("job", o_.ids, what); };
+  auto ids = [&](CLI::App* c, const char* what) {
+    return c->add_option("job", leadership_.ids, what);
+  };
   submit_ =
       job->add_subcommand("submit", "submit a job; repeated with the same --batch or --id, once");
-  submit_->add_option("--batch", o_.batch, "name of the batch: the same name is the same job");
-  submit_->add_option("--id", o_.id, "the id to use (j- and digits)");
-  submit_->add_option("--class", o_.job.jobClass, "class of jobs that it belongs to");
-  submit_->add_option("--shape", o_.shape, "array, service or gang")
+  submit_->add_option("--batch", leadership_.batch,
+                      "name of the batch: the same name is the same job");
+  submit_->add_option("--id", leadership_.id, "the id to use (j- and digits)");
+  submit_->add_option("--class", leadership_.job.jobClass, "class of jobs that it belongs to");
+  submit_->add_option("--shape", leadership_.shape, "array, service or gang")
       ->check(CLI::IsMember({"array", "service", "gang"}));
-  submit_->add_option("--priority", o_.priority, "best_effort, standard, high or production")
+  submit_
+      ->add_option("--priority", leadership_.priority, "best_effort, standard, high or production")
       ->check(CLI::IsMember({"best_effort", "standard", "high", "production"}));
-  submit_->add_option("--tasks", o_.job.tasks, "how many")->check(CLI::Range(1, 100000));
-  submit_->add_option("--cpus", o_.job.cpus, "of each task");
-  submit_->add_option("--gpus", o_.job.gpus, "of each task");
-  submit_->add_option("--ram-gb", o_.job.ramGb, "of each task");
-  submit_->add_option("--image", o_.job.image, "that a machine must have");
-  submit_->add_option("--image-gb", o_.job.imageGb, "its size");
-  submit_->add_option("--zone", o_.job.zone, "the only allowed zone");
-  submit_->add_option("--types", o_.job.types, "allowed machine types")->delimiter(',');
-  submit_->add_option("--estimate", o_.job.estimateS, "seconds that a task runs, about");
-  submit_->add_flag("--spot", o_.job.spot, "may use machines that are taken back");
-  submit_->add_flag("--spread", o_.job.spread, "at most half of the tasks in one zone");
-  submit_->add_flag("--one-zone", o_.job.oneZone, "all tasks in the same zone");
-  submit_->add_option("--directory", o_.directory, "where tasks run, below the member's files");
-  submit_->add_flag("--wait", o_.wait, "until it has ended");
-  submit_->add_option("command", o_.command, "what each task runs (HOIST_TASK is its number)");
+  submit_->add_option("--tasks", leadership_.job.tasks, "how many")->check(CLI::Range(1, 100000));
+  submit_->add_option("--cpus", leadership_.job.cpus, "of each task");
+  submit_->add_option("--gpus", leadership_.job.gpus, "of each task");
+  submit_->add_option("--ram-gb", leadership_.job.ramGb, "of each task");
+  submit_->add_option("--image", leadership_.job.image, "that a machine must have");
+  submit_->add_option("--image-gb", leadership_.job.imageGb, "its size");
+  submit_->add_option("--zone", leadership_.job.zone, "the only allowed zone");
+  submit_->add_option("--types", leadership_.job.types, "allowed machine types")->delimiter(',');
+  submit_->add_option("--estimate", leadership_.job.estimateS, "seconds that a task runs, about");
+  submit_->add_flag("--spot", leadership_.job.spot, "may use machines that are taken back");
+  submit_->add_flag("--spread", leadership_.job.spread, "at most half of the tasks in one zone");
+  submit_->add_flag("--one-zone", leadership_.job.oneZone, "all tasks in the same zone");
+  submit_->add_option("--directory", leadership_.directory,
+                      "where tasks run, below the member's files");
+  submit_->add_flag("--wait", leadership_.wait, "until it has ended");
+  submit_->add_option("command", leadership_.command,
+                      "what each task runs (HOIST_TASK is its number)");
   submit_->footer("Example: hoist job submit --batch drawer-12 --tasks 40 -- ./scan.sh");
   status_ = job->add_subcommand("status", "what a job's state is");
   ids(status_, "ids")->required();
   list_ = job->add_subcommand("list", "the member's jobs, in the order of their last change");
-  list_->add_option("--phase", o_.phase, "pending, running, done or withdrawn")
+  list_->add_option("--phase", leadership_.phase, "pending, running, done or withdrawn")
       ->check(CLI::IsMember({"pending", "running", "done", "withdrawn"}));
-  list_->add_option("--class", o_.job.jobClass, "only of this class");
-  list_->add_option("--since", o_.since, "a cursor, as a list or watch told it");
-  list_->add_option("--limit", o_.limit, "jobs of one page")->check(CLI::Range(1, 200));
-  list_->add_flag("--all", o_.all, "every page");
+  list_->add_option("--class", leadership_.job.jobClass, "only of this class");
+  list_->add_option("--since", leadership_.since, "a cursor, as a list or watch told it");
+  list_->add_option("--limit", leadership_.limit, "jobs of one page")->check(CLI::Range(1, 200));
+  list_->add_flag("--all", leadership_.all, "every page");
   watch_ = job->add_subcommand("watch", "tells each change until the jobs named have ended");
   ids(watch_, "ids; none: all of the member's");
-  watch_->add_option("--since", o_.since, "a cursor: all that changed after it");
+  watch_->add_option("--since", leadership_.since, "a cursor: all that changed after it");
   cancel_ = job->add_subcommand("cancel", "cancel jobs");
   ids(cancel_, "ids")->required();
   logs_ = job->add_subcommand("logs", "what a task has printed");
   ids(logs_, "the job's id")->required()->expected(1);
-  logs_->add_option("--task", o_.task, "number of the task");
-  logs_->add_flag("--follow", o_.follow, "until the job has ended");
+  logs_->add_option("--task", leadership_.task, "number of the task");
+  logs_->add_flag("--follow", leadership_.follow, "until the job has ended");
 }
 
 std::optional<int> JobCommands::run(const Options& common) {
   bool any = false;
   for (const auto* c : {submit_, status_, list_, watch_, cancel_, logs_}) any = any || c->parsed();
   if (!any) return std::nullopt;
-  o_.settings = clientSettings(common);
-  o_.json = common.json;
-  o_.timeoutS = common.timeoutS;
+  leadership_.settings = clientSettings(common);
+  leadership_.json = common.json;
+  leadership_.timeoutS = common.timeoutS;
   if (submit_->parsed()) {
-    if (o_.job.jobClass.empty()) o_.job.jobClass = "job";
-    return jobSubmit(o_);
+    if (leadership_.job.jobClass.empty()) leadership_.job.jobClass = "job";
+    return jobSubmit(leadership_);
   }
-  if (status_->parsed()) return jobStatus(o_);
-  if (list_->parsed()) return jobList(o_);
-  if (watch_->parsed()) return jobWatch(o_);
-  if (cancel_->parsed()) return jobCancel(o_);
-  return jobLogs(o_);
+  if (status_->parsed()) return jobStatus(leadership_);
+  if (list_->parsed()) return jobList(leadership_);
+  if (watch_->parsed()) return jobWatch(leadership_);
+  if (cancel_->parsed()) return jobCancel(leadership_);
+  return jobLogs(leadership_);
 }
 
 }  // namespace kestrelhoist::hoist
--- a/region/model/region.hpp
+++ b/region/model/region.hpp
@@ -26,9 +26,9 @@
 // What one task takes; the rest is known to its TaskHost.
 struct TaskNeeds {
   double cpus{}, gpus{};
-  bool saves{};  // takes a checkpoint when it is stopped with time to do so
+  bool saves{};            // takes a checkpoint when it is stopped with time to do so
   std::string image = {};  // kept on the machine once it was fetched; empty: fetched each time
-  double gb = 1;      // of it, fetchS each
+  double gb = 1;           // of it, fetchS each
 };
 
 class Region;
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -49,7 +49,9 @@
           runtime, http, mesh_,
           {"cloud", platform.cloudAddress, {"GET", "/machine_types", ""}, 3 * kStoreTimeout},
           // Only leaders ask the cloud: of a follower it is mostly not known, and worth a try.
-          [](const PeerStatus& s) { return s.cloudAge < kUnknownAfter ? s.cloudAge : Duration{0}; }),
+          [](const PeerStatus& s) {
+            return s.cloudAge < kUnknownAfter ? s.cloudAge : Duration{0};
+          }),
       workerLine_(runtime, http, mesh_),
       relay_(runtime, mesh_, platform.member),
       store_(runtime, stateWay_, platform.stateAddress,
@@ -89,7 +91,7 @@
   feed_.setInterval(kFollowerRead);
   feed_.onChanged = [this] { onRecordsChanged(); };
   feed_.onReload = [this] {
-    if (election_.leads()) leaveOffice("records must be read again", true, Duration{1000});
+    if (election_.leads()) stepDown("records must be read again", true, Duration{1000});
   };
   jobs_.onCommitted = flows_.onCommitted = [this] {
     if (leader_) {
@@ -110,7 +112,7 @@
   if (members_) members_->onRecordsChanged();
   lastToken_ = std::max(lastToken_, replica_.leaderToken());
   if (leader_ && replica_.leaderToken() != election_.token()) {
-    leaveOffice("another leads or the lease ended", false, Duration{0});
+    stepDown("another leads or the lease ended", false, Duration{0});
   }
   if (leader_) leader_->onRecordsChanged();
   runElection();
@@ -138,12 +140,13 @@
     std::erase_if(sentAway_, [&](const auto& e) { return now - e.second > kSweepEvery; });
   }
   runElection();
-  watchOffice();
+  watchLeadership();
 }
 
-// One that has heard workers and hears them no more is cut off from them: it would hold the office
-// and take all of them for dead (203 healthy machines given back within a second). It leaves time
-// for the others to read that the office is free. One that has just started does not know yet.
+// One that has heard workers and hears them no more is cut off from them: it would hold the
+// leadership and take all of them for dead (203 healthy machines given back within a second). It
+// leaves time for the others to read that the leadership is free. One that has just started does
+// not know yet.
 Duration Controller::standsAfter() const {
   Duration silence = runtime_.now() - lastWorker_;
   if (silence < platform_.reportEvery * 5 / 4 + Duration{1000}) return Duration{0};
@@ -165,7 +168,7 @@
   bool led = election_.leads();
   auto step = election_.tick(now, view);
   if (led && !election_.leads()) {
-    leaveOffice("another leads or the lease ended", false, Duration{0});
+    stepDown("another leads or the lease ended", false, Duration{0});
     return;
   }
   switch (step) {
@@ -183,7 +186,7 @@
           election_.onClaimed(runtime_.now(), r);
           if (r.outcome == Outcome::applied) {
             replica_.apply({t.writes[0].key, t.writes[0].value, r.epoch});
-            takeOffice();
+            beginLeadership();
           }
         });
       });
@@ -193,40 +196,42 @@
         bool leads = election_.leads();
         election_.onRenewed(o);
         if (leads && !election_.leads()) {
-          leaveOffice("the lease has ended", false, Duration{0});
+          stepDown("the lease has ended", false, Duration{0});
         }
       });
       break;
   }
-  if (election_.leads() && !leader_) takeOffice();
+  if (election_.leads() && !leader_) beginLeadership();
 }
 
 // Acts only once everything up to the election has been read.
-void Controller::takeOffice() {
-  if (takingOffice_ || leader_ || !election_.leads()) return;
-  takingOffice_ = true;
+void Controller::beginLeadership() {
+  if (beginningLeadership_ || leader_ || !election_.leads()) return;
+  beginningLeadership_ = true;
   feed_.fresh([this](bool ok) {
-    takingOffice_ = false;
+    beginningLeadership_ = false;
     if (!ok || leader_ || !election_.leads()) return;
     if (!election_.isMine(replica_.leader()) || replica_.leaderToken() != election_.token()) return;
     feed_.setInterval(kLeaderRead);
     workerLine_.forget();
-    Office office{runtime_,    store_,    feed_,     replica_,          cloud_,
-                  workerLine_, platform_, settings_, election_.token(), runtime_.now()};
-    office.workersReached = [this](Instant sent) { return workerLine_.reachedSince(sent); };
-    office.inForce = &policyCopy_;
-    office.timeOfDay = [this] { return timeOfDay(); };
-    leader_ = std::make_unique<Leader>(office, planner_, policyCopy_, [this](const ZoneId& zone) {
-      return std::any_of(platform_.peers.begin(), platform_.peers.end(),
-                         [&](const Peer& p) { return p.zone == zone && mesh_.mayLive(p.member); });
-    });
+    Leadership leadership{runtime_,    store_,    feed_,     replica_,          cloud_,
+                          workerLine_, platform_, settings_, election_.token(), runtime_.now()};
+    leadership.workersReached = [this](Instant sent) { return workerLine_.reachedSince(sent); };
+    leadership.inForce = &policyCopy_;
+    leadership.timeOfDay = [this] { return timeOfDay(); };
+    leader_ =
+        std::make_unique<Leader>(leadership, planner_, policyCopy_, [this](const ZoneId& zone) {
+          return std::any_of(platform_.peers.begin(), platform_.peers.end(), [&](const Peer& p) {
+            return p.zone == zone && mesh_.mayLive(p.member);
+          });
+        });
     for (const auto& [machine, at] : answered_.all())
       leader_->fleet().answeredElsewhere(machine, at);
     askPeersForAnswered();
   });
 }
 
-void Controller::leaveOffice(const std::string& why, bool dropLease, Duration holdBack) {
+void Controller::stepDown(const std::string& why, bool dropLease, Duration holdBack) {
   logInfo("no longer leading", "token", election_.token(), "why", why);
   lastToken_ = std::max(lastToken_, election_.token());
   auto lease = election_.lease();
@@ -240,20 +245,20 @@
   }
 }
 
-void Controller::watchOffice() {
+void Controller::watchLeadership() {
   if (!election_.leads()) return;
   Instant now = runtime_.now();
   for (const auto& [member, seen] : mesh_.statuses()) {
     if (seen.first.token > election_.token()) {
-      return leaveOffice("member " + member.value + " knows a higher token", false, Duration{500});
+      return stepDown("member " + member.value + " knows a higher token", false, Duration{500});
     }
   }
   Duration silent = feed_.contactAge();
   if (feed_.loaded() && !mayRenew()) {
-    return leaveOffice("no contact with the state service for too long", false, Duration{1000});
+    return stepDown("no contact with the state service for too long", false, Duration{1000});
   }
   if (feed_.loaded() && silent > kStoreSilent && mesh_.peerWithStore(feed_.failingSince())) {
-    return leaveOffice("the state service answers others but not this node", false, Duration{3000});
+    return stepDown("the state service answers others but not this node", false, Duration{3000});
   }
   if (!leader_) return;
   // Hears no worker although there are some: cut off from them, or all are gone.
@@ -279,7 +284,7 @@
   // wait until they have turned up elsewhere, which takes a worker's patience out of its lease.
   constexpr std::size_t kSeveral = 3;
   if (peersHear || !anyPeer || heard >= kSeveral) {
-    leaveOffice("no worker reports here", true, 5 * platform_.reportEvery + Duration{10000});
+    stepDown("no worker reports here", true, 5 * platform_.reportEvery + Duration{10000});
   }
 }
 
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -53,9 +53,9 @@
   // Adds to a job's state, once it is answered, why its tasks wait, as the leader knows.
   Respond withReasons(const Respond& respond);
   bool answerUser(const Request& request, const Respond& respond, bool hold);
-  void takeOffice();
-  void leaveOffice(const std::string& why, bool dropLease, Duration holdBack);
-  void watchOffice();
+  void beginLeadership();
+  void stepDown(const std::string& why, bool dropLease, Duration holdBack);
+  void watchLeadership();
   void onRecordsChanged();
   void onBeat(const Request& request, const Respond& respond);
   // As the leader. `via`: the peer that passed the report on.
@@ -102,7 +102,7 @@
   Instant sweptAt_{};
   Election election_;
   std::unique_ptr<Leader> leader_;
-  bool takingOffice_ = false;
+  bool beginningLeadership_ = false;
   Token lastToken_;  // of the newest leader known of
   Instant lastWorker_{};
   Instant lastForeign_{};  // a worker of another zone
@@ -111,7 +111,7 @@
   std::map<MachineId, Instant> sentAway_;  // workers told to go elsewhere, when
   std::optional<Instant> holderUnheardSince_;
   Instant started_{};
-  // How long it leaves the office to others that are nearer to the workers.
+  // How long it leaves the leadership to others that are nearer to the workers.
   Duration standsAfter() const;
   std::optional<Instant> leaderMissingSince_;
 };
--- a/src/app/controller_links.cpp
+++ b/src/app/controller_links.cpp
@@ -22,8 +22,9 @@
 std::optional<Instant> Controller::renewUntil() const {
   if (!feed_.loaded()) return std::nullopt;
   Instant asOf = feed_.recordsAsOf();
-  // Running work need not end when nobody can have told of a cancellation that is not known here. Own
-  // commits that were not read back yet may hide placements, and a flow's are not effective yet.
+  // Running work need not end when nobody can have told of a cancellation that is not known here.
+  // Own commits that were not read back yet may hide placements, and a flow's are not effective
+  // yet.
   if (auto told = witnesses_.recordsAsOf();
       told && *told > asOf && feed_.contactAge() > kStoreSilent &&
       replica_.newestCancellation() <= replica_.cursor() && !replica_.cancelsUnderWay()) {
@@ -70,8 +71,8 @@
       replica_.leader()->member != platform_.member && holderUnheardSince_) {
     v.holder = replica_.leader()->member;
     v.holderUnheard = v.now - *holderUnheardSince_;
-    // One that has just come from a tour has spent most of its lease: it is answered here first (16 of
-    // 24 replicas were left where it was sent on another tour at once).
+    // One that has just come from a tour has spent most of its lease: it is answered here first (16
+    // of 24 replicas were left where it was sent on another tour at once).
     auto here = answered_.all().find(report.machine);
     bool fresh = here != answered_.all().end() &&
                  v.now - here->second < platform_.reportEvery * 5 / 4 + Duration{1500};
@@ -91,12 +92,14 @@
     return job && !job->active();
   };
   return jsonResponse(
-      200, ordersToJson(lastToken_, leaseOnlyOrders(report, replica_.machine(report.machine), over)));
+      200,
+      ordersToJson(lastToken_, leaseOnlyOrders(report, replica_.machine(report.machine), over)));
 }
 
 Response Controller::sendAway(const Report& report, const std::optional<MemberId>& to) {
   sentAway_[report.machine] = runtime_.now();
-  if (to && replica_.leader() && *to == replica_.leader()->member && !mesh_.heard(*to, kMeshHeard)) {
+  if (to && replica_.leader() && *to == replica_.leader()->member &&
+      !mesh_.heard(*to, kMeshHeard)) {
     scouts_.sent(*to, report.machine, runtime_.now());
   }
   Json body = Json::object();
@@ -145,12 +148,11 @@
   if (!leader_ || !election_.leads()) return away();
   if (!mayRenew()) {
     // A node that hung finds reports waiting before its timers: the bound holds for each answer.
-    leaveOffice("no contact with the state service for too long", false, Duration{1000});
+    stepDown("no contact with the state service for too long", false, Duration{1000});
     return away();
   }
   if (report.token > election_.token()) {
-    leaveOffice("machine " + report.machine.value + " has seen a higher token", false,
-                Duration{500});
+    stepDown("machine " + report.machine.value + " has seen a higher token", false, Duration{500});
     return away();
   }
   if (via) workerLine_.heard(report.address, via);
--- a/src/app/leader.hpp
+++ b/src/app/leader.hpp
@@ -13,7 +13,7 @@
 class Leader {
  public:
   // `standIn`: whether a controller in that zone may be answering its workers unseen.
-  Leader(const Office& office, PlanRunner& planner, PolicyCopy& policy,
+  Leader(const Leadership& leadership, PlanRunner& planner, PolicyCopy& policy,
          std::function<bool(const ZoneId&)> standIn);
   Leader(const Leader&) = delete;
   Leader& operator=(const Leader&) = delete;
@@ -23,7 +23,7 @@
   void onRecordsChanged();
   // Why a job's tasks wait, who leads and since when, in seconds: for operators.
   Json why(const JobId& job);
-  Token token() const { return o_.token; }
+  Token token() const { return leadership_.token; }
   Fleet& fleet() { return fleet_; }
 
  private:
@@ -35,7 +35,7 @@
   void commit(Commit commit);
   void send(std::shared_ptr<Commit> commit);
 
-  Office o_;
+  Leadership leadership_;
   std::function<bool(const ZoneId&)> standIn_;
   Fleet fleet_;
   Dispatch dispatch_;
--- a/src/base/http.hpp
+++ b/src/base/http.hpp
@@ -26,9 +26,10 @@
   Duration idle{120000};  // a connection on which nothing is asked
   Duration slowest{0};    // for one request to arrive in full; 0: no bound
   int highestSocket = 0;  // a connection with a higher number is refused; 0: no bound
-  // A connection with a higher number is closed after its answer; 0: no bound. Numbers are given from
-  // the lowest on, so that many are open: those of workers, of which each asks once in seconds, can't
-  // all be kept where a controller has few sockets for them (two of three down, a larger fleet).
+  // A connection with a higher number is closed after its answer; 0: no bound. Numbers are given
+  // from the lowest on, so that many are open: those of workers, of which each asks once in
+  // seconds, can't all be kept where a controller has few sockets for them (two of three down, a
+  // larger fleet).
   int crowdedSocket = 0;
   std::function<void()> crowded{};  // one was answered so
 };
--- a/src/base/http_test.cpp
+++ b/src/base/http_test.cpp
@@ -65,8 +65,11 @@
   limits.crowdedSocket = 1;
   limits.crowded = [&] { ++crowded; };
   HttpServer server(
-      loop, "127.0.0.1:0", [](const Request&, const Respond& r) { r({200, "", 0}); }, nullptr,
-      limits);
+      loop, "127.0.0.1:0",
+      [](const Request&, const Respond& r) {
+        r({200, "", 0});
+      },
+      nullptr, limits);
   EvHttpClient client(loop, 8);
   std::string address = "127.0.0.1:" + std::to_string(server.port());
   std::function<void()> ask = [&] {
--- a/src/cloud/demand.cpp
+++ b/src/cloud/demand.cpp
@@ -24,10 +24,10 @@
   return tasks / std::max(1.0, perMachine);
 }
 
-// Where machines would help a job's waiting tasks; empty: anywhere. Of a service that is spread, at most
-// half may be in one zone: three of six replicas waited for ever beside an idle machine in the zone of the
-// three others, which counted as room for them.
-std::set<ZoneId> zonesLeft(const Office& o, Fleet& fleet, const JobState& job,
+// Where machines would help a job's waiting tasks; empty: anywhere. Of a service that is spread, at
+// most half may be in one zone: three of six replicas waited for ever beside an idle machine in the
+// zone of the three others, which counted as room for them.
+std::set<ZoneId> zonesLeft(const Leadership& o, Fleet& fleet, const JobState& job,
                            const MachineType& type) {
   const JobSpec& spec = *job.record.spec;
   if (spec.zone) return {*spec.zone};
@@ -60,7 +60,7 @@
   return out;
 }
 
-std::map<TypeId, TypeDemand> demandNow(const Office& o, Fleet& fleet,
+std::map<TypeId, TypeDemand> demandNow(const Leadership& o, Fleet& fleet,
                                        const std::map<JobId, std::uint32_t>& unplaced) {
   std::map<TypeId, TypeDemand> demand;
   for (const auto& type : o.catalogue->types) demand[type.id];
--- a/src/cloud/listing_duty.cpp
+++ b/src/cloud/listing_duty.cpp
@@ -10,35 +10,35 @@
 }  // namespace
 
 void ListingDuty::tick() {
-  if (!o_.catalogue) readTypes();
-  if (o_.runtime.now() >= nextList_ && !listing_) readList();
+  if (!leadership_.catalogue) readTypes();
+  if (leadership_.runtime.now() >= nextList_ && !listing_) readList();
 }
 
 void ListingDuty::readTypes() {
-  if (asked_ || !o_.cloud.mayAsk()) return;
+  if (asked_ || !leadership_.cloud.mayAsk()) return;
   asked_ = true;
-  o_.cloud.types(o_.guard([this](std::optional<Catalogue> c) {
+  leadership_.cloud.types(leadership_.guard([this](std::optional<Catalogue> c) {
     if (!c) {
       logInfo("the cloud did not tell its machine types");
-      o_.runtime.after(kRetry, o_.guard([this] { asked_ = false; }));
+      leadership_.runtime.after(kRetry, leadership_.guard([this] { asked_ = false; }));
       return;
     }
-    o_.catalogue = std::move(c);
-    o_.kick();
+    leadership_.catalogue = std::move(c);
+    leadership_.kick();
   }));
 }
 
 void ListingDuty::readList() {
-  if (!o_.cloud.mayAsk()) return;
+  if (!leadership_.cloud.mayAsk()) return;
   listing_ = true;
-  nextList_ = o_.runtime.now() + std::max(o_.platform.listLag, Duration{2000});
-  o_.cloud.list(o_.guard([this](std::optional<std::vector<ListedMachine>> list) {
+  nextList_ = leadership_.runtime.now() + std::max(leadership_.platform.listLag, Duration{2000});
+  leadership_.cloud.list(leadership_.guard([this](std::optional<std::vector<ListedMachine>> list) {
     listing_ = false;
     if (!list) {
       logInfo("the cloud gave no machine list");
       return;
     }
-    Instant now = o_.runtime.now();
+    Instant now = leadership_.runtime.now();
     std::vector<std::pair<MachineId, Machine>> machines;
     for (const auto& l : *list) {
       Machine m;
@@ -50,10 +50,10 @@
       m.listed = l.state == ListedMachine::State::failed    ? Listed::failed
                  : l.state == ListedMachine::State::booting ? Listed::booting
                                                             : Listed::running;
-      m.rentedAt = now - l.age - o_.platform.listLag;
+      m.rentedAt = now - l.age - leadership_.platform.listLag;
       machines.emplace_back(l.id, std::move(m));
     }
-    fleet_.onList(machines, now, o_.platform.listLag);
+    fleet_.onList(machines, now, leadership_.platform.listLag);
     dispatch_.askAll();
   }));
 }
--- a/src/cloud/listing_duty.hpp
+++ b/src/cloud/listing_duty.hpp
@@ -8,8 +8,8 @@
 
 class ListingDuty : public Duty {
  public:
-  ListingDuty(Office& office, Fleet& fleet, Dispatch& dispatch)
-      : o_(office), fleet_(fleet), dispatch_(dispatch) {}
+  ListingDuty(Leadership& leadership, Fleet& fleet, Dispatch& dispatch)
+      : leadership_(leadership), fleet_(fleet), dispatch_(dispatch) {}
 
   Turn next() override { return Turn::pass(); }
   void tick() override;
@@ -18,7 +18,7 @@
   void readTypes();
   void readList();
 
-  Office& o_;
+  Leadership& leadership_;
   Fleet& fleet_;
   Dispatch& dispatch_;
   bool asked_ = false;  // the types
--- a/src/cloud/release_duty.cpp
+++ b/src/cloud/release_duty.cpp
@@ -17,13 +17,14 @@
   std::vector<MachineId> ended;
   std::size_t marked = 0;
   auto draftOf = [&](const RentalId& id) -> RentalRecord* {
-    auto rental = o_.replica.rentals().find(id);
-    if (rental == o_.replica.rentals().end()) return nullptr;
-    if (!drafts.contains(id) && drafts.size() >= o_.platform.transactionOps) return nullptr;
+    auto rental = leadership_.replica.rentals().find(id);
+    if (rental == leadership_.replica.rentals().end()) return nullptr;
+    if (!drafts.contains(id) && drafts.size() >= leadership_.platform.transactionOps)
+      return nullptr;
     return &drafts.try_emplace(id, rental->second).first->second;
   };
   for (const auto& id : releaseConfirmed_) {
-    const auto* state = o_.replica.machine(id);
+    const auto* state = leadership_.replica.machine(id);
     if (!state) {
       ended.push_back(id);
     } else if (state->tasks.empty()) {
@@ -34,7 +35,7 @@
     }
   }
   for (const auto& id : fleet_.toRelease()) {
-    const auto* state = o_.replica.machine(id);
+    const auto* state = leadership_.replica.machine(id);
     if (!state || state->leaving || releaseConfirmed_.contains(id)) continue;
     if (auto* draft = draftOf(state->rental)) {
       for (auto& m : draft->machines) m.leaving = m.leaving || m.id == id;
@@ -48,10 +49,10 @@
     settle();
     return Turn::pass();
   }
-  Transaction t = o_.begin();
+  Transaction t = leadership_.begin();
   for (const auto& [id, draft] : drafts) {
     std::string key = keys::rental(id);
-    t.conditions.push_back({key, o_.replica.stampOf(key)});
+    t.conditions.push_back({key, leadership_.replica.stampOf(key)});
     t.writes.push_back(
         {key, draft.machines.empty() ? std::nullopt : std::optional(toJson(draft)), std::nullopt});
   }
@@ -71,28 +72,28 @@
   constexpr std::size_t kMostNames = 100;
   std::vector<MachineId> batch;
   for (const auto& id : fleet_.toRelease()) {
-    const auto* state = o_.replica.machine(id);
+    const auto* state = leadership_.replica.machine(id);
     if (state && state->leaving && batch.size() < kMostNames) batch.push_back(id);
   }
-  if (batch.empty() || !o_.cloud.mayAsk()) return;
+  if (batch.empty() || !leadership_.cloud.mayAsk()) return;
   releasing_.insert(batch.begin(), batch.end());
-  o_.cloud.release(batch, o_.guard([this, batch](bool ok) {
+  leadership_.cloud.release(batch, leadership_.guard([this, batch](bool ok) {
     if (!ok) {
       logInfo("release got no 200, asking again", "machines", batch.size());
-      o_.runtime.after(kRetry, o_.guard([this] { releasing_.clear(); }));
+      leadership_.runtime.after(kRetry, leadership_.guard([this] { releasing_.clear(); }));
       return;
     }
     releasing_.clear();
     for (const auto& id : batch) {
       logInfo("machine released", "machine", id);
-      if (const auto* state = o_.replica.machine(id)) {
+      if (const auto* state = leadership_.replica.machine(id)) {
         for (const auto& t : state->tasks) facts_.noteFact(t, Gone::lost);
       }
       releaseConfirmed_.insert(id);
-      fleet_.onReleased(id, o_.runtime.now());
+      fleet_.onReleased(id, leadership_.runtime.now());
     }
     start();
-    o_.kick();
+    leadership_.kick();
   }));
 }
 
--- a/src/cloud/release_duty.hpp
+++ b/src/cloud/release_duty.hpp
@@ -8,8 +8,8 @@
 
 class ReleaseDuty : public Duty {
  public:
-  ReleaseDuty(Office& office, Fleet& fleet, TaskFacts& facts)
-      : o_(office), fleet_(fleet), facts_(facts) {}
+  ReleaseDuty(Leadership& leadership, Fleet& fleet, TaskFacts& facts)
+      : leadership_(leadership), fleet_(fleet), facts_(facts) {}
 
   Turn next() override;
   void tick() override { start(); }
@@ -17,7 +17,7 @@
  private:
   void start();
 
-  Office& o_;
+  Leadership& leadership_;
   Fleet& fleet_;
   TaskFacts& facts_;
   std::set<MachineId> releasing_;         // asked, no answer yet
--- a/src/cloud/rental_duty.hpp
+++ b/src/cloud/rental_duty.hpp
@@ -11,9 +11,13 @@
 
 class RentalDuty : public Duty {
  public:
-  RentalDuty(Office& office, Fleet& fleet, Dispatch& dispatch, PlanDuty& plans,
+  RentalDuty(Leadership& leadership, Fleet& fleet, Dispatch& dispatch, PlanDuty& plans,
              DemandForecasts& forecasts)
-      : o_(office), fleet_(fleet), dispatch_(dispatch), plans_(plans), forecasts_(forecasts) {}
+      : leadership_(leadership),
+        fleet_(fleet),
+        dispatch_(dispatch),
+        plans_(plans),
+        forecasts_(forecasts) {}
 
   Turn next() override;
   void tick() override { startHires(); }
@@ -33,7 +37,7 @@
   void onHired(const RentalRecord& rental, const HireResult& result);
   void emptyMachines(const TypeId& type, std::size_t surplus);
 
-  Office& o_;
+  Leadership& leadership_;
   Fleet& fleet_;
   Dispatch& dispatch_;
   PlanDuty& plans_;
--- a/src/cloud/renting.cpp
+++ b/src/cloud/renting.cpp
@@ -35,7 +35,8 @@
   return p;
 }
 
-// Spreads `count` rentals over the zones that are not refused, the emptiest first; `only`: in these.
+// Spreads `count` rentals over the zones that are not refused, the emptiest first; `only`: in
+// these.
 void rent(const RentInput& in, bool spot, int count, Pool& pool, RentDecision& out,
           const std::set<ZoneId>* only = nullptr) {
   std::map<ZoneId, std::uint32_t> add;
--- a/src/cloud/window_duty.cpp
+++ b/src/cloud/window_duty.cpp
@@ -8,8 +8,8 @@
 namespace kestrelhoist {
 
 void WindowDuty::tick() {
-  if (!o_.settled || !o_.catalogue) return;
-  if (o_.runtime.now() >= ends_) {
+  if (!leadership_.settled || !leadership_.catalogue) return;
+  if (leadership_.runtime.now() >= ends_) {
     turn();
   } else {
     rentals_.check();
@@ -17,16 +17,17 @@
 }
 
 Turn WindowDuty::next() {
-  Transaction t = o_.begin();
+  Transaction t = leadership_.begin();
   auto set = [&](const std::string& key, Json value) {
-    t.conditions.push_back({key, o_.replica.stampOf(key)});
+    t.conditions.push_back({key, leadership_.replica.stampOf(key)});
     t.writes.push_back({key, std::move(value), std::nullopt});
   };
-  if (o_.catalogue && !o_.replica.catalogue())
-    set(keys::kCatalogue, kestrelhoist::toJson(*o_.catalogue));
+  if (leadership_.catalogue && !leadership_.replica.catalogue())
+    set(keys::kCatalogue, kestrelhoist::toJson(*leadership_.catalogue));
   if (dirty_) {
     Json value = toJson();
-    if (value.dump().size() < o_.platform.valueBytes) set(keys::kForecast, std::move(value));
+    if (value.dump().size() < leadership_.platform.valueBytes)
+      set(keys::kForecast, std::move(value));
     dirty_ = false;
   }
   if (t.writes.empty()) return Turn::pass();
@@ -34,12 +35,12 @@
 }
 
 void WindowDuty::turn() {
-  Instant now = o_.runtime.now();
-  auto demand = demandNow(o_, fleet_, plans_.unplaced());
-  for (const auto& type : o_.catalogue->types) {
+  Instant now = leadership_.runtime.now();
+  auto demand = demandNow(leadership_, fleet_, plans_.unplaced());
+  for (const auto& type : leadership_.catalogue->types) {
     const TypeDemand& d = demand[type.id];
     auto horizon = static_cast<std::size_t>(
-        std::max(1.0, std::ceil(toSeconds(type.boot) / toSeconds(o_.settings.window))));
+        std::max(1.0, std::ceil(toSeconds(type.boot) / toSeconds(leadership_.settings.window))));
     auto [it, isNew] =
         forecasts_.series.try_emplace(type.id, DemandSeries{Forecast(horizon), Forecast(horizon)});
     // DESIGN names it: refused rents leave tasks waiting and push the forecast toward room that
@@ -51,12 +52,12 @@
       });
     };
     bool noOrdinary = allRefused(false);
-    bool noSpot = !o_.settings.useSpot || allRefused(true);
+    bool noSpot = !leadership_.settings.useSpot || allRefused(true);
     it->second.firm.observe(d.firmBooked + (noOrdinary ? 0 : d.firmWaiting));
     it->second.flexible.observe(d.flexibleOnSpot + d.flexibleOnOrdinary +
                                 (noOrdinary && noSpot ? 0 : d.flexibleWaiting));
   }
-  while (ends_ <= now) ends_ = ends_ + o_.settings.window;
+  while (ends_ <= now) ends_ = ends_ + leadership_.settings.window;
   dirty_ = true;
   rentals_.decide(true);
 }
@@ -69,10 +70,10 @@
   // Since when a zone is silent: a leader that never heard its machines can't know how long their
   // tasks can run (day `zone`: cut, then the leader ended; 1,712 tasks were over for 25 s before
   // the next leader gave them up).
-  Instant now = o_.runtime.now();
+  Instant now = leadership_.runtime.now();
   Json silent = Json::object();
   for (const auto& [zone, at] : fleet_.quietZones(now)) {
-    silent[zone.value] = o_.runtime.wallMillis() - (now - at).count();
+    silent[zone.value] = leadership_.runtime.wallMillis() - (now - at).count();
   }
   // Jobs that fail wherever they go: a new leader need not learn it again at their full width.
   constexpr std::size_t kMostSuspects = 32;
@@ -80,7 +81,7 @@
   for (const auto& [job, rounds] : fleet_.evidence().suspects(kMostSuspects)) {
     suspect[job.value] = rounds;
   }
-  return {{"at", o_.runtime.wallMillis()},
+  return {{"at", leadership_.runtime.wallMillis()},
           {"types", std::move(types)},
           {"silent", std::move(silent)},
           {"suspect", std::move(suspect)}};
@@ -88,17 +89,17 @@
 
 // The windows that an earlier leader left, with the gap since then closed at present demand.
 void WindowDuty::load() {
-  const auto& stored = o_.replica.forecast();
-  if (loaded_ || !stored || !o_.catalogue) return;
+  const auto& stored = leadership_.replica.forecast();
+  if (loaded_ || !stored || !leadership_.catalogue) return;
   loaded_ = true;
   auto at = countField(*stored, "at");
   const Json* types = field(*stored, "types");
   if (!at || !types || !types->is_object()) return;
-  auto age =
-      Duration{std::max<std::int64_t>(0, o_.runtime.wallMillis() - static_cast<std::int64_t>(*at))};
-  auto missed = static_cast<std::size_t>(age / o_.settings.window);
-  auto demand = demandNow(o_, fleet_, plans_.unplaced());
-  for (const auto& type : o_.catalogue->types) {
+  auto age = Duration{
+      std::max<std::int64_t>(0, leadership_.runtime.wallMillis() - static_cast<std::int64_t>(*at))};
+  auto missed = static_cast<std::size_t>(age / leadership_.settings.window);
+  auto demand = demandNow(leadership_, fleet_, plans_.unplaced());
+  for (const auto& type : leadership_.catalogue->types) {
     const Json* entry = field(*types, type.id.value.c_str());
     const Json* firm = entry ? field(*entry, "firm") : nullptr;
     const Json* flexible = entry ? field(*entry, "flexible") : nullptr;
--- a/src/cloud/window_duty.hpp
+++ b/src/cloud/window_duty.hpp
@@ -7,10 +7,14 @@
 
 class WindowDuty : public Duty {
  public:
-  WindowDuty(Office& office, Fleet& fleet, PlanDuty& plans, RentalDuty& rentals,
+  WindowDuty(Leadership& leadership, Fleet& fleet, PlanDuty& plans, RentalDuty& rentals,
              DemandForecasts& forecasts)
-      : o_(office), fleet_(fleet), plans_(plans), rentals_(rentals), forecasts_(forecasts) {
-    ends_ = o_.since + o_.settings.window;
+      : leadership_(leadership),
+        fleet_(fleet),
+        plans_(plans),
+        rentals_(rentals),
+        forecasts_(forecasts) {
+    ends_ = leadership_.since + leadership_.settings.window;
   }
 
   Turn next() override;
@@ -22,7 +26,7 @@
   void turn();
   Json toJson() const;
 
-  Office& o_;
+  Leadership& leadership_;
   Fleet& fleet_;
   PlanDuty& plans_;
   RentalDuty& rentals_;
--- a/src/evidence/evidence.cpp
+++ b/src/evidence/evidence.cpp
@@ -24,8 +24,8 @@
   auto it = trials_.find(job);
   if (it == trials_.end()) return;
   Trial& trial = it->second;
-  // It works elsewhere, so where it failed it was the machine; but of a job that failed everywhere for
-  // a while (a flaky image) the machines are not to blame.
+  // It works elsewhere, so where it failed it was the machine; but of a job that failed everywhere
+  // for a while (a flaky image) the machines are not to blame.
   if (!trial.suspect && !known) {
     for (const auto& [m, charged] : trial.failedOn) {
       if (m != machine) charge(m, kSoundFailed - charged);
--- a/src/evidence/evidence.hpp
+++ b/src/evidence/evidence.hpp
@@ -1,7 +1,7 @@
 // Who is at fault when a task ends in error: its job or its machine? Pure: outcomes and time in,
-// judgement out. Errors: DESIGN says nothing of them; PROTOCOL, "Workers", `error`: mostly the machine
-// is faulty, but a job submitted with a mistake fails on every machine until its user cancels it.
-// The ways weighed, and the figures behind the weights: docs/evidence.md.
+// judgement out. Errors: DESIGN says nothing of them; PROTOCOL, "Workers", `error`: mostly the
+// machine is faulty, but a job submitted with a mistake fails on every machine until its user
+// cancels it. The ways weighed, and the figures behind the weights: docs/evidence.md.
 #pragma once
 
 #include <map>
@@ -15,8 +15,8 @@
 
 class Evidence {
  public:
-  // A task of this job has ended on this machine. `ownWork`: its tasks do different things (a flow's
-  // instances), so the end of one says nothing of the others.
+  // A task of this job has ended on this machine. `ownWork`: its tasks do different things (a
+  // flow's instances), so the end of one says nothing of the others.
   void succeeded(const JobId& job, const MachineId& machine);
   void failed(const JobId& job, const MachineId& machine, Instant now, bool ownWork);
   // Forgets jobs that are over.
@@ -45,7 +45,8 @@
 
  private:
   // Weight against a machine, as logarithms of how much likelier an outcome is on a faulty machine
-  // than on a sound one (Page's cumulative sum: never below 0, so no machine is acquitted for good).
+  // than on a sound one (Page's cumulative sum: never below 0, so no machine is acquitted for
+  // good).
   static constexpr double kSoundFailed = 3.2;    // a job that has succeeded elsewhere
   static constexpr double kUnknownFailed = 2.2;  // a job of which nothing else is known yet
   static constexpr double kSucceeded = -1.2;
@@ -58,16 +59,16 @@
   static constexpr int kMostRounds = 7;
 
   struct Trial {
-    bool sound{};    // has succeeded somewhere
+    bool sound{};  // has succeeded somewhere
     bool suspect{};
-    int rounds{};    // of failures since the last success
+    int rounds{};                            // of failures since the last success
     Instant until{};                         // no trial before
     std::map<MachineId, double> failedOn{};  // since the last success, with what was charged for it
   };
   void charge(const MachineId& machine, double weight);
 
-  std::map<JobId, Trial> trials_;             // jobs with failures since their last success
-  std::set<JobId> sound_;                     // jobs that have succeeded
+  std::map<JobId, Trial> trials_;  // jobs with failures since their last success
+  std::set<JobId> sound_;          // jobs that have succeeded
   std::map<MachineId, double> against_;
 };
 
--- a/src/evidence/evidence_test.cpp
+++ b/src/evidence/evidence_test.cpp
@@ -23,7 +23,8 @@
   EXPECT_LE(*e.pausedUntil(job(1)), at(12));
 }
 
-// Found on the operators' days: two mistaken jobs on one machine, with no success between, gave it up.
+// Found on the operators' days: two mistaken jobs on one machine, with no success between, gave it
+// up.
 TEST(Evidence, ManyMistakenJobsCondemnNoMachine) {
   Evidence e;
   for (int j = 0; j < 40; ++j) {
@@ -69,7 +70,8 @@
   EXPECT_FALSE(e.faulty(machine(6)));
 }
 
-// One success does not make up for a sound job's failure: a machine that fails now and then is found.
+// One success does not make up for a sound job's failure: a machine that fails now and then is
+// found.
 TEST(Evidence, AMachineIsNeverAcquittedForGood) {
   Evidence e;
   int until = 0;
--- a/src/fleet/dispatch.cpp
+++ b/src/fleet/dispatch.cpp
@@ -15,15 +15,15 @@
 // come seldom it asks for them: the round is over when each machine has reported or was asked in
 // vain.
 bool Dispatch::roundOver() const {
-  Duration round = o_.platform.reportEvery * 5 / 4 + Duration{500};
-  if (o_.runtime.now() - o_.since >= round) return true;
+  Duration round = leadership_.platform.reportEvery * 5 / 4 + Duration{500};
+  if (leadership_.runtime.now() - leadership_.since >= round) return true;
   return askedAll_ && toAsk_.empty() && asking_.empty();
 }
 
 // With the first list, which tells the addresses of machines that this leader has not heard.
 void Dispatch::askAll() {
   constexpr Duration kWorthAsking{3000};
-  if (askedAll_ || o_.settled || o_.platform.reportEvery < kWorthAsking) return;
+  if (askedAll_ || leadership_.settled || leadership_.platform.reportEvery < kWorthAsking) return;
   askedAll_ = true;
   for (const auto& [id, m] : fleet_.machines()) {
     if (!m.heard() && !m.address.empty() && m.listed == Listed::running) toAsk_.push_back(id);
@@ -39,7 +39,7 @@
         if (m && !m->heard()) self.ask(*m);
       }
       if (self.toAsk_.empty()) return;
-      self.o_.runtime.after(kPause, self.o_.guard([&self] { go(self); }));
+      self.leadership_.runtime.after(kPause, self.leadership_.guard([&self] { go(self); }));
     }
   };
   Step::go(*this);
@@ -47,14 +47,15 @@
 
 // Machines that should have reported by now: dead, or on their way to another node.
 void Dispatch::askOverdue() {
-  Instant now = o_.runtime.now();
-  if (!o_.settled) return;
+  Instant now = leadership_.runtime.now();
+  if (!leadership_.settled) return;
   std::vector<Machine*> due;
   for (auto& [id, m] : fleet_.machines()) {
     if (m.address.empty() || asking_.contains(id)) continue;
     if (fleet_.overdue(m, now) || fleet_.unheard(m, now)) due.push_back(&m);
   }
-  // Who was not asked for the longest time first: those that don't answer must not use up all questions.
+  // Who was not asked for the longest time first: those that don't answer must not use up all
+  // questions.
   std::stable_sort(due.begin(), due.end(),
                    [](const Machine* a, const Machine* b) { return a->askedAt < b->askedAt; });
   // In a zone that is silent few at first: it may be cut off, or its workers report to a controller
@@ -67,7 +68,9 @@
   }
   // Where nothing else shows that workers can be reached from here (their reports come through
   // peers), one that is on time is asked along with those that are not.
-  if (asking_.empty() || !o_.workersReached || o_.workersReached(now - kAskTimeout)) return;
+  if (asking_.empty() || !leadership_.workersReached ||
+      leadership_.workersReached(now - kAskTimeout))
+    return;
   for (auto& [id, m] : fleet_.machines()) {
     if (fleet_.onTime(m, now) && !m.address.empty() && !asking_.contains(id)) return ask(m);
   }
@@ -76,48 +79,49 @@
 // A direct command without orders: shows the worker this leader's token and brings its report.
 void Dispatch::ask(Machine& m) {
   if (!asking_.insert(m.id).second) return;
-  m.askedAt = o_.runtime.now();
+  m.askedAt = leadership_.runtime.now();
   Tenure tenure{1};
   if (m.heard()) {
     tenure = m.memory.last->tenure;
-  } else if (const auto* record = o_.replica.machine(m.id)) {
+  } else if (const auto* record = leadership_.replica.machine(m.id)) {
     for (const auto& t : record->tasks) tenure = std::max(tenure, t.tenure);
   }
-  Request request{"POST", "/commands", encodeBody(commandsToJson(o_.token, tenure, {}))};
-  o_.http.send(m.address, std::move(request), kAskTimeout,
-               o_.guard([this, id = m.id](const std::optional<Response>& r) {
-                 asking_.erase(id);
-                 Machine* machine = fleet_.find(id);
-                 if (!machine) return;
-                 if (fleet_.inSilentZone(*machine)) {
-                   bool reached = r && (r->status == 200 || r->status == 409);
-                   silentAtOnce_ = reached ? std::min(2 * silentAtOnce_, kAtOnce) : kSilentAtLeast;
-                 }
-                 auto body = r && (r->status == 200 || r->status == 409) ? decodeBody(r->body)
-                                                                         : std::nullopt;
-                 auto report = body ? reportFrom(*body) : std::nullopt;
-                 if (!report || report->machine != id) {
-                   // Silence says nothing of the machine unless the way to it is known to work:
-                   // this controller, or the peer it asked through, may be the one that is cut off.
-                   if (r && r->status == kNotReached) ++machine->askedInVain;
-                   return;
-                 }
-                 if (!fleet_.take(*report, o_.runtime.now())) return;
-                 // Only facts are taken from it; orders go with the next report.
-                 fleet_.ordersFor(*machine, o_.runtime.now(), false);
-                 onNews(*machine);
-                 o_.replan = true;
-                 o_.kick();
-               }));
+  Request request{"POST", "/commands", encodeBody(commandsToJson(leadership_.token, tenure, {}))};
+  leadership_.http.send(
+      m.address, std::move(request), kAskTimeout,
+      leadership_.guard([this, id = m.id](const std::optional<Response>& r) {
+        asking_.erase(id);
+        Machine* machine = fleet_.find(id);
+        if (!machine) return;
+        if (fleet_.inSilentZone(*machine)) {
+          bool reached = r && (r->status == 200 || r->status == 409);
+          silentAtOnce_ = reached ? std::min(2 * silentAtOnce_, kAtOnce) : kSilentAtLeast;
+        }
+        auto body =
+            r && (r->status == 200 || r->status == 409) ? decodeBody(r->body) : std::nullopt;
+        auto report = body ? reportFrom(*body) : std::nullopt;
+        if (!report || report->machine != id) {
+          // Silence says nothing of the machine unless the way to it is known to work:
+          // this controller, or the peer it asked through, may be the one that is cut off.
+          if (r && r->status == kNotReached) ++machine->askedInVain;
+          return;
+        }
+        if (!fleet_.take(*report, leadership_.runtime.now())) return;
+        // Only facts are taken from it; orders go with the next report.
+        fleet_.ordersFor(*machine, leadership_.runtime.now(), false);
+        onNews(*machine);
+        leadership_.replan = true;
+        leadership_.kick();
+      }));
 }
 
 // Sends a machine its orders now rather than with its next report.
 void Dispatch::push(const MachineId& id) {
   Machine* m = fleet_.find(id);
   if (!m || !m->heard() || fleet_.isReleased(id)) return;
-  Instant now = o_.runtime.now();
-  if (now - m->memory.lastHeard > o_.platform.workerLease) return;
-  auto orders = fleet_.ordersFor(*m, now, o_.feed.reachable());
+  Instant now = leadership_.runtime.now();
+  if (now - m->memory.lastHeard > leadership_.platform.workerLease) return;
+  auto orders = fleet_.ordersFor(*m, now, leadership_.feed.reachable());
   // A late `clear` could make the worker forget what a late launch then starts again.
   std::erase_if(orders, [](const Order& o) { return o.kind == Order::Kind::clear; });
   if (orders.empty()) return;
@@ -125,29 +129,31 @@
     if (o.kind == Order::Kind::launch) m->memory.inDoubt.insert(o.id);
   }
   Tenure tenure = m->memory.last->tenure;
-  Request request{"POST", "/commands", encodeBody(commandsToJson(o_.token, tenure, orders))};
-  o_.http.send(m->memory.last->address, std::move(request), kDirectTimeout,
-               o_.guard([this, id, orders, tenure](std::optional<Response> r) {
-                 Machine* machine = fleet_.find(id);
-                 if (!machine || !r) return;  // no answer: launches may still arrive
-                 if (r->status != 200 && r->status != 409 && r->status != 400) return;
-                 if (machine->memory.last && machine->memory.last->tenure == tenure) {
-                   auto& inDoubt = machine->memory.inDoubt;
-                   for (const auto& o : orders) {
-                     if (o.kind != Order::Kind::launch) continue;
-                     if (auto own = inDoubt.find(o.id); own != inDoubt.end()) inDoubt.erase(own);
-                   }
-                 }
-                 if (r->status == 400) return;
-                 auto body = decodeBody(r->body);
-                 auto report = body ? reportFrom(*body) : std::nullopt;
-                 if (!report || report->machine != id || !fleet_.take(*report, o_.runtime.now())) {
-                   return;
-                 }
-                 // Only facts are taken from it; further orders go with the next report.
-                 fleet_.ordersFor(*machine, o_.runtime.now(), false);
-                 onNews(*machine);
-               }));
+  Request request{"POST", "/commands",
+                  encodeBody(commandsToJson(leadership_.token, tenure, orders))};
+  leadership_.http.send(
+      m->memory.last->address, std::move(request), kDirectTimeout,
+      leadership_.guard([this, id, orders, tenure](std::optional<Response> r) {
+        Machine* machine = fleet_.find(id);
+        if (!machine || !r) return;  // no answer: launches may still arrive
+        if (r->status != 200 && r->status != 409 && r->status != 400) return;
+        if (machine->memory.last && machine->memory.last->tenure == tenure) {
+          auto& inDoubt = machine->memory.inDoubt;
+          for (const auto& o : orders) {
+            if (o.kind != Order::Kind::launch) continue;
+            if (auto own = inDoubt.find(o.id); own != inDoubt.end()) inDoubt.erase(own);
+          }
+        }
+        if (r->status == 400) return;
+        auto body = decodeBody(r->body);
+        auto report = body ? reportFrom(*body) : std::nullopt;
+        if (!report || report->machine != id || !fleet_.take(*report, leadership_.runtime.now())) {
+          return;
+        }
+        // Only facts are taken from it; further orders go with the next report.
+        fleet_.ordersFor(*machine, leadership_.runtime.now(), false);
+        onNews(*machine);
+      }));
 }
 
 }  // namespace kestrelhoist
--- a/src/fleet/dispatch.hpp
+++ b/src/fleet/dispatch.hpp
@@ -7,13 +7,13 @@
 #include <set>
 
 #include "fleet/fleet.hpp"
-#include "leadership/office.hpp"
+#include "leadership/leadership.hpp"
 
 namespace kestrelhoist {
 
 class Dispatch {
  public:
-  Dispatch(Office& office, Fleet& fleet) : o_(office), fleet_(fleet) {}
+  Dispatch(Leadership& leadership, Fleet& fleet) : leadership_(leadership), fleet_(fleet) {}
 
   // Sends a machine its orders now rather than with its next report.
   void push(const MachineId& id);
@@ -28,11 +28,11 @@
  private:
   void ask(Machine& m);
 
-  Office& o_;
+  Leadership& leadership_;
   Fleet& fleet_;
   bool askedAll_ = false;  // in place of waiting for the round
   std::deque<MachineId> toAsk_;
-  std::set<MachineId> asking_;  // no answer yet
+  std::set<MachineId> asking_;                 // no answer yet
   std::size_t silentAtOnce_ = kSilentAtLeast;  // of machines in silent zones
   static constexpr std::size_t kSilentAtLeast = 2, kAtOnce = 32;
 };
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -15,7 +15,12 @@
 }  // namespace
 
 Fleet::Fleet(const Platform& platform, const Replica& replica, Token token, Instant now)
-    : platform_(platform), renewal_(platform), replica_(replica), token_(token), since_(now), lastHeardAny_(now) {}
+    : platform_(platform),
+      renewal_(platform),
+      replica_(replica),
+      token_(token),
+      since_(now),
+      lastHeardAny_(now) {}
 
 Machine* Fleet::find(const MachineId& id) {
   auto it = machines_.find(id);
@@ -301,8 +306,8 @@
       zoneSilentAt_[zone] = now;
     }
   }
-  // Where next to nobody is heard of many, what fails is this leader's own way to them (its peers may
-  // hear them all the time): silence is no evidence then, but for what the cloud tells.
+  // Where next to nobody is heard of many, what fails is this leader's own way to them (its peers
+  // may hear them all the time): silence is no evidence then, but for what the cloud tells.
   constexpr int kMany = 4, kTenth = 10;
   const bool blind = expected >= kMany && reporting * kTenth < expected;
   // Releases that an earlier leader began, of machines that work as ever: not all in one moment.
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -51,7 +51,7 @@
  public:
   Fleet(const Platform& platform, const Replica& replica, Token token, Instant now);
 
-  // Takes a worker's report; returns the orders. `mayLaunch`: the leader is sure of its office.
+  // Takes a worker's report; returns the orders. `mayLaunch`: the leader is sure of its leadership.
   std::vector<Order> onReport(const Report& report, Instant now, bool mayLaunch);
   // The same for machines that have something to be told now, outside a report.
   std::vector<Order> ordersFor(Machine& m, Instant now, bool mayLaunch);
@@ -85,8 +85,8 @@
   // Whether a machine that should have reported by now is worth a direct question.
   bool overdue(const Machine& m, Instant now) const;
   bool inSilentZone(const Machine& m) const { return silentZones_.contains(m.zone); }
-  // The same of one that this leader has not heard although tasks may be on it: its worker may report
-  // to a controller that can do nothing for it.
+  // The same of one that this leader has not heard although tasks may be on it: its worker may
+  // report to a controller that can do nothing for it.
   bool unheard(const Machine& m, Instant now) const;
   // Zones from which hardly any machine reports that should.
   const std::set<ZoneId>& silentZones() const { return silentZones_; }
--- a/src/fleet/fleet_test.cpp
+++ b/src/fleet/fleet_test.cpp
@@ -62,8 +62,8 @@
   EXPECT_EQ(givenUp(65000), 37U);
 }
 
-// The sum of lease_renewal.hpp at the three paces: what is told a moment after the records' instant is
-// gone in time although the last report is answered at the last moment.
+// The sum of lease_renewal.hpp at the three paces: what is told a moment after the records' instant
+// is gone in time although the last report is answered at the last moment.
 TEST(LeaseRenewal, EndsSoEarlyThatTheLeaseIsOverInTime) {
   for (auto [lease, cancel] : {std::pair{11000, 41000}, {17500, 47500}, {36000, 61000}}) {
     Platform p;
--- a/src/fleet/lease_renewal.hpp
+++ b/src/fleet/lease_renewal.hpp
@@ -1,4 +1,5 @@
-// Until when a worker's lease may be renewed by a controller whose records are as of a known moment.
+// Until when a worker's lease may be renewed by a controller whose records are as of a known
+// moment.
 #pragma once
 
 #include <algorithm>
@@ -17,9 +18,10 @@
 // report was sent (PROTOCOL, "Leases"), so whatever holds the report, the answer or this process up
 // between `s` and the worker only shortens the lease: nothing of that is in the sum, and an answer
 // needs no second check when it is sent on (by a relay, or after this process stood still).
-// Terms, all in steady time of different machines, at most 0.05% apart (PROTOCOL): a - r is measured
-// here, the lease by the worker, `cancel` by the user; twice that of (cancel - lease) covers them.
-// kSlack: how late a worker that just woke ends its tasks, and the user's and our own timers.
+// Terms, all in steady time of different machines, at most 0.05% apart (PROTOCOL): a - r is
+// measured here, the lease by the worker, `cancel` by the user; twice that of (cancel - lease)
+// covers them. kSlack: how late a worker that just woke ends its tasks, and the user's and our own
+// timers.
 class LeaseRenewal {
  public:
   static constexpr Duration kSlack{3000};
--- a/src/fleet/reconcile.cpp
+++ b/src/fleet/reconcile.cpp
@@ -129,8 +129,8 @@
   }
   // A direct launch that the leader has no answer to may arrive minutes later, under a token that
   // stays the newest for as long as there is no other leader, and this answer keeps the session up
-  // to which it belongs. Nothing of a job that is over is ever placed again, so wherever its task may
-  // be, this attempt is the only one.
+  // to which it belongs. Nothing of a job that is over is ever placed again, so wherever its task
+  // may be, this attempt is the only one.
   for (const auto& on : record ? record->tasks : std::vector<TaskOn>{}) {
     if (on.tenure == report.tenure && !report.find(on.id) && over(on.id.task.job)) {
       addSettled(orders, on.id);
--- a/src/fleet/report.hpp
+++ b/src/fleet/report.hpp
@@ -16,7 +16,7 @@
 struct ReportedTask {
   AttemptId id;
   TaskState state{};
-  EndCause cause{};  // if ended
+  EndCause cause{};               // if ended
   std::optional<Duration> ran{};  // how long it ran; only some workers tell
 };
 
--- a/src/flows/draft.hpp
+++ b/src/flows/draft.hpp
@@ -8,9 +8,9 @@
 
 class FlowDuty::Draft {
  public:
-  Draft(const Office& office, const FlowId& id, const FlowState& flow, const FlowVersion& version,
-        const Digest& graph)
-      : o_(&office), id_(id), flow_(&flow), version_(&version), graph_(graph) {}
+  Draft(const Leadership& leadership, const FlowId& id, const FlowState& flow,
+        const FlowVersion& version, const Digest& graph)
+      : leadership_(&leadership), id_(id), flow_(&flow), version_(&version), graph_(graph) {}
 
   void set(const std::string& key, Json value, Revision stamp) {
     bytes_ += value.dump().size() + key.size() + 64;
@@ -66,7 +66,8 @@
     auto known = flow_->accounts.find(last);
     if (known != flow_->accounts.end()) accounts_.try_emplace(last, known->second);
     // Numbers grow: a value is filled to a half only.
-    if (accountBytes(accounts_[last]) + rule.name.size() + 128 > o_->platform.valueBytes / 2) {
+    if (accountBytes(accounts_[last]) + rule.name.size() + 128 >
+        leadership_->platform.valueBytes / 2) {
       ++last;
     }
     accounts_[last].push_back({rule.name, rule.perTask, use});
@@ -75,12 +76,12 @@
   // Over: the head says so, and the flow leaves its member's list, which frees its outputs' names.
   void endFlow(const FlowHead& head) {
     head_ = head;
-    std::vector<FlowId> open = o_->replica.flows().openOf(head.team, head.member);
+    std::vector<FlowId> open = leadership_->replica.flows().openOf(head.team, head.member);
     std::erase(open, id_);
     Json ids = Json::array();
     for (const auto& f : open) ids.push_back(f.value);
     std::string key = keys::openFlows(head.team, head.member);
-    Revision stamp = o_->replica.stampOf(key);
+    Revision stamp = leadership_->replica.stampOf(key);
     if (open.empty()) {
       drop(key, stamp);
     } else {
@@ -99,23 +100,23 @@
     std::size_t bytes = bytes_ + 1024;
     for (const auto& [number, letters] : pages_) {
       std::size_t size = packPage(letters).size();
-      if (size + 64 > o_->platform.valueBytes) return false;
+      if (size + 64 > leadership_->platform.valueBytes) return false;
       bytes += size + 128;
     }
     for (const auto& [block, entries] : accounts_) bytes += accountBytes(entries) + 128;
-    return changes() <= o_->platform.transactionOps && bytes <= kMaxTransactionBytes;
+    return changes() <= leadership_->platform.transactionOps && bytes <= kMaxTransactionBytes;
   }
 
   Transaction finish() {
     for (const auto& [number, letters] : pages_) {
       std::string key = keys::page(id_, graph_, number);
-      set(key, packPage(letters), o_->replica.stampOf(key));
+      set(key, packPage(letters), leadership_->replica.stampOf(key));
     }
     for (const auto& [block, entries] : accounts_) {
       Json list = Json::array();
       for (const auto& e : entries) list.push_back(toJson(e));
       std::string key = keys::account(id_, block);
-      set(key, std::move(list), o_->replica.stampOf(key));
+      set(key, std::move(list), leadership_->replica.stampOf(key));
     }
     std::string head = keys::flow(id_);
     if (head_) {
@@ -123,7 +124,7 @@
     } else {
       conditions_.push_back({head, flow_->stamp});
     }
-    Transaction t = o_->begin();
+    Transaction t = leadership_->begin();
     t.conditions.insert(t.conditions.end(), conditions_.begin(), conditions_.end());
     t.writes = std::move(writes_);
     return t;
@@ -136,7 +137,7 @@
     return n;
   }
 
-  const Office* o_;
+  const Leadership* leadership_;
   FlowId id_;
   const FlowState* flow_;
   const FlowVersion* version_;
--- a/src/flows/duty.hpp
+++ b/src/flows/duty.hpp
@@ -5,15 +5,15 @@
 
 #include "cloud/demand.hpp"
 #include "flows/progress.hpp"
-#include "leadership/office.hpp"
+#include "leadership/leadership.hpp"
 #include "placement/task_duty.hpp"
 
 namespace kestrelhoist {
 
 class FlowDuty : public Duty {
  public:
-  FlowDuty(Office& office, TaskFacts& facts, TaskDuty& tasks)
-      : o_(office), facts_(facts), tasks_(tasks) {}
+  FlowDuty(Leadership& leadership, TaskFacts& facts, TaskDuty& tasks)
+      : leadership_(leadership), facts_(facts), tasks_(tasks) {}
 
   Turn next() override;
   void changed(bool byOthers) override;
@@ -59,11 +59,11 @@
   bool endable(const JobState& job) const;
   // Of one job: its record, its tasks' and an account change with them.
   std::size_t mostPages() const {
-    return o_.platform.transactionOps > 4 ? o_.platform.transactionOps - 4 : 1;
+    return leadership_.platform.transactionOps > 4 ? leadership_.platform.transactionOps - 4 : 1;
   }
-  std::uint32_t stretchTasks() const { return stretchFor(o_.platform.valueBytes); }
+  std::uint32_t stretchTasks() const { return stretchFor(leadership_.platform.valueBytes); }
 
-  Office& o_;
+  Leadership& leadership_;
   TaskFacts& facts_;
   TaskDuty& tasks_;
   std::map<FlowId, Run> runs_;
--- a/src/leadership/duty.hpp
+++ b/src/leadership/duty.hpp
@@ -11,8 +11,8 @@
 
 namespace kestrelhoist {
 
-// One transaction of a duty. It conditions on the leader key (Office::begin) and writes at least
-// one key that it conditions on.
+// One transaction of a duty. It conditions on the leader key (Leadership::begin) and writes at
+// least one key that it conditions on.
 struct Commit {
   Transaction transaction;
   std::function<void()> applied;  // after the copy has taken it in; may be null
@@ -20,7 +20,7 @@
 };
 
 // What a duty does with its turn: nothing, a commit, or something that keeps the turn until
-// Office::done is called.
+// Leadership::done is called.
 struct Turn {
   std::optional<Commit> commit;
   bool holds = false;
--- a/src/leadership/office.hpp
+++ b/src/leadership/leadership.hpp
@@ -15,7 +15,7 @@
 
 class CloudClient;
 
-struct Office {
+struct Leadership {
   Runtime& runtime;
   StoreClient& store;
   Feed& feed;
--- a/src/leadership/mesh.cpp
+++ b/src/leadership/mesh.cpp
@@ -35,19 +35,19 @@
   if (!member || !token || !leading || !store || !workers) return std::nullopt;
   auto cancelled = countField(v, "cancelled_at");
   auto wall = static_cast<std::int64_t>(countField(v, "wall_ms").value_or(0));
-  return PeerStatus{MemberId{*member},
-                  Token{*token},
-                  *leading,
-                  Duration{static_cast<std::int64_t>(*store)},
-                  Duration{static_cast<std::int64_t>(*workers)},
-                  boolField(v, "ready").value_or(false),
-                  boolField(v, "deaf").value_or(false),
-                  boolField(v, "relays").value_or(false),
-                  Duration{static_cast<std::int64_t>(
-                      countField(v, "cloud_age_ms").value_or(kLongAgo.count()))},
-                  wall,
-                  std::nullopt,
-                  cancelled ? std::optional(Revision{*cancelled}) : std::nullopt};
+  return PeerStatus{
+      MemberId{*member},
+      Token{*token},
+      *leading,
+      Duration{static_cast<std::int64_t>(*store)},
+      Duration{static_cast<std::int64_t>(*workers)},
+      boolField(v, "ready").value_or(false),
+      boolField(v, "deaf").value_or(false),
+      boolField(v, "relays").value_or(false),
+      Duration{static_cast<std::int64_t>(countField(v, "cloud_age_ms").value_or(kLongAgo.count()))},
+      wall,
+      std::nullopt,
+      cancelled ? std::optional(Revision{*cancelled}) : std::nullopt};
 }
 
 Mesh::Mesh(Runtime& runtime, HttpClient& http, const Platform& platform)
--- a/src/placement/plan_duty.hpp
+++ b/src/placement/plan_duty.hpp
@@ -9,9 +9,9 @@
 
 class PlanDuty : public Duty {
  public:
-  PlanDuty(Office& office, Fleet& fleet, Dispatch& dispatch, TaskFacts& facts, TaskDuty& tasks,
-           PlanRunner& planner)
-      : o_(office),
+  PlanDuty(Leadership& leadership, Fleet& fleet, Dispatch& dispatch, TaskFacts& facts,
+           TaskDuty& tasks, PlanRunner& planner)
+      : leadership_(leadership),
         fleet_(fleet),
         dispatch_(dispatch),
         facts_(facts),
@@ -19,8 +19,8 @@
         planner_(planner) {}
 
   Turn next() override { return start() ? Turn::hold() : Turn::pass(); }
-  void changed(bool) override { o_.replan = true; }
-  void tick() override { o_.replan = true; }  // pauses and patience end with time
+  void changed(bool) override { leadership_.replan = true; }
+  void tick() override { leadership_.replan = true; }  // pauses and patience end with time
   // Tasks that found no room, by the last plan.
   const std::map<JobId, std::uint32_t>& unplaced() const { return unplaced_; }
 
@@ -30,14 +30,14 @@
   std::function<Waits(const JobSpec&)> roomReason;
 
  private:
-  bool mayPlace() const { return o_.settled && o_.catalogue.has_value(); }
+  bool mayPlace() const { return leadership_.settled && leadership_.catalogue.has_value(); }
   bool start();
   PlanInput picture();
   void holdBack(PlanInput& in) const;
   Duration bootTime() const;
   void onPlan(const PlanInput& input, const Plan& plan);
 
-  Office& o_;
+  Leadership& leadership_;
   Fleet& fleet_;
   Dispatch& dispatch_;
   TaskFacts& facts_;
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -57,7 +57,7 @@
   double remainingS{};  // estimated run time of all its tasks that are not done, together
   std::uint32_t waiting{};
   std::uint32_t held{};  // tasks that are on machines
-  bool begun{};  // some of its tasks are done
+  bool begun{};          // some of its tasks are done
   bool protectedService{};
   int standing{};
   std::optional<std::uint32_t> most;
--- a/src/placement/task_duty.cpp
+++ b/src/placement/task_duty.cpp
@@ -9,7 +9,7 @@
 
 void TaskDuty::tellStops() {
   std::set<MachineId> machines;
-  for (const auto& [id, job] : o_.replica.live()) {
+  for (const auto& [id, job] : leadership_.replica.live()) {
     if (job->active() && !(job->record.flow && !job->record.flow->dropped.empty())) continue;
     for (const auto& [index, placed] : job->placed) {
       if (job->active() && !job->isDropped(index)) continue;
@@ -22,31 +22,31 @@
 // What has been proven of tasks and, with a plan, its placements that still hold. A launch
 // follows only after the commit.
 std::optional<Commit> TaskDuty::commit(const PlanInput* input, const Plan* plan) {
-  TaskWrites writes(o_, facts_);
-  Instant now = o_.runtime.now();
+  TaskWrites writes(leadership_, facts_);
+  Instant now = leadership_.runtime.now();
   std::set<MachineId> machines;
   std::size_t placements = 0;
   if (plan) {
-    o_.highest = std::max(o_.highest, o_.replica.cursor());
+    leadership_.highest = std::max(leadership_.highest, leadership_.replica.cursor());
     std::map<std::size_t, std::uint32_t> next;  // by job: from which task on to look
     for (const auto& p : plan->placements) {
       const PlanJob& wanted = input->jobs[p.job];
       const JobId& id = wanted.spec->id;
-      const auto* job = o_.replica.job(id);
+      const auto* job = leadership_.replica.job(id);
       Machine* m = fleet_.find(input->machines[p.machine].id);
       // The picture may be older than what has been read since.
       if (!m || !fleet_.usable(*m, now) || !job || !job->active() || job->stamp != wanted.stamp) {
-        o_.replan = true;
+        leadership_.replan = true;
         continue;
       }
       std::uint32_t& index = next[p.job];
       while (index < job->tasks && !writes.mayPlace(id, *job, index)) ++index;
       if (index >= job->tasks) continue;
       // Attempts are larger than any of this task before: each earlier placement and its end were
-      // committed at revisions up to `o_.highest`.
-      Placed placed{m->id, m->memory.last->tenure, Attempt{o_.highest.value}};
+      // committed at revisions up to `leadership_.highest`.
+      Placed placed{m->id, m->memory.last->tenure, Attempt{leadership_.highest.value}};
       if (!writes.place(id, *job, index, placed)) {
-        o_.replan = true;
+        leadership_.replan = true;
         continue;
       }
       logDebug("placing", "job", id, "task", index, "machine", m->id);
@@ -59,7 +59,7 @@
   std::vector<std::pair<Instant, TaskFacts::StretchKey>> urgent;
   std::vector<AttemptId> stale;
   for (const auto& [key, due] : facts_.due()) {
-    const auto* job = o_.replica.job(key.first);
+    const auto* job = leadership_.replica.job(key.first);
     if (!job) continue;  // a flow's, dropped by a later leader
     if (!facts_.factsUrgent(key, due)) continue;
     urgent.emplace_back(due.since, key);
@@ -71,14 +71,14 @@
       }
     }
   }
-  for (const auto& id : stale) facts_.forgetFact(id, *o_.replica.job(id.task.job));
+  for (const auto& id : stale) facts_.forgetFact(id, *leadership_.replica.job(id.task.job));
   std::sort(urgent.begin(), urgent.end());
   for (const auto& [since, key] : urgent) {
     if (!facts_.due().contains(key)) continue;
-    if (!writes.open(key.first, *o_.replica.job(key.first), key.second)) break;
+    if (!writes.open(key.first, *leadership_.replica.job(key.first), key.second)) break;
   }
   if (writes.empty()) return std::nullopt;
-  Transaction t = o_.begin();
+  Transaction t = leadership_.begin();
   writes.finish(t);
   auto settled = std::move(writes.settled());
   std::size_t count = settled.size();
@@ -88,7 +88,8 @@
         for (const auto& [attempt, gone] : settled) {
           logDebug("task off its machine", "task", attempt.str(), "how", static_cast<int>(gone));
           told_.erase(attempt);
-          if (const auto* job = o_.replica.job(attempt.task.job)) facts_.forgetFact(attempt, *job);
+          if (const auto* job = leadership_.replica.job(attempt.task.job))
+            facts_.forgetFact(attempt, *job);
         }
         for (const auto& m : machines) dispatch_.push(m);
       },
--- a/src/placement/task_duty.hpp
+++ b/src/placement/task_duty.hpp
@@ -9,8 +9,8 @@
 
 class TaskDuty : public Duty {
  public:
-  TaskDuty(Office& office, Fleet& fleet, Dispatch& dispatch, TaskFacts& facts)
-      : o_(office), fleet_(fleet), dispatch_(dispatch), facts_(facts) {}
+  TaskDuty(Leadership& leadership, Fleet& fleet, Dispatch& dispatch, TaskFacts& facts)
+      : leadership_(leadership), fleet_(fleet), dispatch_(dispatch), facts_(facts) {}
 
   Turn next() override { return Turn::of(commit(nullptr, nullptr)); }
   void changed(bool byOthers) override {
@@ -22,7 +22,7 @@
   std::optional<Commit> commit(const PlanInput* input, const Plan* plan);
 
  private:
-  Office& o_;
+  Leadership& leadership_;
   Fleet& fleet_;
   Dispatch& dispatch_;
   TaskFacts& facts_;
--- a/src/placement/task_facts.hpp
+++ b/src/placement/task_facts.hpp
@@ -5,7 +5,7 @@
 #include <map>
 
 #include "fleet/fleet.hpp"
-#include "leadership/office.hpp"
+#include "leadership/leadership.hpp"
 
 namespace kestrelhoist {
 
@@ -28,7 +28,7 @@
     Instant until{};
   };
 
-  TaskFacts(Office& office, Fleet& fleet) : o_(office), fleet_(fleet) {}
+  TaskFacts(Leadership& leadership, Fleet& fleet) : leadership_(leadership), fleet_(fleet) {}
 
   // Takes in what a machine's reports have proven.
   void noteFacts(Machine& m);
@@ -50,12 +50,11 @@
   // Of a suspect job: how many more of its tasks may be placed now.
   std::optional<std::uint32_t> trialsLeft(const JobId& id, const JobState& job) const;
 
-
  private:
   void noteError(const JobId& id, const JobState& job, const MachineId& machine);
   bool runsWell(const JobState& job, const MachineId& except, MachineId& where) const;
 
-  Office& o_;
+  Leadership& leadership_;
   Fleet& fleet_;
   std::map<StretchKey, Due> due_;
   std::map<JobId, std::uint32_t> dueDone_;   // tasks found done, not committed yet
--- a/src/placement/task_writes.hpp
+++ b/src/placement/task_writes.hpp
@@ -13,15 +13,15 @@
 // the same write.
 class TaskWrites {
  public:
-  TaskWrites(Office& office, TaskFacts& facts)
-      : o_(office), facts_(facts), limit_(office.platform.transactionOps) {}
+  TaskWrites(Leadership& leadership, TaskFacts& facts)
+      : leadership_(leadership), facts_(facts), limit_(leadership.platform.transactionOps) {}
 
   // False: this transaction is full.
   bool open(const JobId& id, const JobState& job, std::uint32_t stretch) {
     if (drafts_.contains({id, stretch})) return true;
     // Room for this stretch and for its job's end.
     if (full_ || drafts_.size() + ending_ + 2 > limit_) return false;
-    Draft draft{&job, o_.replica.stretchOf(job, stretch), 0, 0, false};
+    Draft draft{&job, leadership_.replica.stretchOf(job, stretch), 0, 0, false};
     std::size_t size = draft.record.bytes();
     if (bytes_ + size + kBytesPerWrite > kMaxTransactionBytes && !drafts_.empty()) {
       full_ = true;  // asked again for each of thousands of placements, which must cost nothing
@@ -48,7 +48,8 @@
     if (!open(id, job, stretch)) return false;
     Draft& draft = drafts_.at({id, stretch});
     std::size_t more = placed.machine.value.size() + 46;
-    if (draft.bytes + more > o_.platform.valueBytes || bytes_ + more > kMaxTransactionBytes) {
+    if (draft.bytes + more > leadership_.platform.valueBytes ||
+        bytes_ + more > kMaxTransactionBytes) {
       return false;
     }
     draft.bytes += more;
@@ -81,13 +82,14 @@
       const auto& [id, stretch] = key;
       const JobState& job = *draft.job;
       std::string name = keys::tasks(id, stretch);
-      t.conditions.push_back({name, o_.replica.stampOf(name)});
+      t.conditions.push_back({name, leadership_.replica.stampOf(name)});
       auto done = newlyDone_.find(id);
       bool ends = done != newlyDone_.end() && job.finishedCount + done->second >= job.tasks;
       // All tasks are done: the job's end is in the same transaction, on the job's stamp, and
       // what is left to know of its tasks goes. An abort moves the stamp, so it and a placement
       // can't both win; and a late copy of the write that created the key can't bring it back.
-      bool drop = ends && draft.record.placed.empty() && o_.replica.stampOf(name) != Revision{};
+      bool drop =
+          ends && draft.record.placed.empty() && leadership_.replica.stampOf(name) != Revision{};
       t.writes.push_back(
           {name, drop ? std::nullopt : std::optional(toJson(draft.record)), std::nullopt});
       if ((ends || draft.places) && conditioned.insert(id).second) {
@@ -149,7 +151,7 @@
     settled_.push_back({{{id, index}, fact.attempt}, fact.gone});
   }
 
-  Office& o_;
+  Leadership& leadership_;
   TaskFacts& facts_;
   std::size_t limit_;
   std::map<TaskFacts::StretchKey, Draft> drafts_;
--- a/src/policy/duty.cpp
+++ b/src/policy/duty.cpp
@@ -13,17 +13,17 @@
 void PolicyDuty::tick() {
   // Without a policy, and none before it whose standing is left, there is nothing to decide.
   bool wanted = copy_.policy() || copy_.standing().policy != 0 || copy_.version() != 0;
-  if (!wanted || !o_.settled || !o_.catalogue) return;
-  Instant now = o_.runtime.now();
+  if (!wanted || !leadership_.settled || !leadership_.catalogue) return;
+  Instant now = leadership_.runtime.now();
   if (windowEnds_ == Instant{}) {
-    windowEnds_ = now + o_.settings.window;
+    windowEnds_ = now + leadership_.settings.window;
     for (const auto& [image, held] : copy_.standing().pools) {
       for (const auto& m : held.machines)
-        fleet_.remember(m, o_.replica.imageNumber(image), held.gb);
+        fleet_.remember(m, leadership_.replica.imageNumber(image), held.gb);
     }
   }
   const Standing& s = copy_.standing();
-  std::int64_t time = o_.timeOfDay();
+  std::int64_t time = leadership_.timeOfDay();
   windowDue_ = now >= windowEnds_;
   bool boundary = !s.storm && (s.open.empty() ? copy_.opensBy(time) : time >= s.closesMs);
   due_ = windowDue_ || boundary || s.policy != copy_.version();
@@ -34,12 +34,13 @@
   due_ = false;
   bool window = std::exchange(windowDue_, false);
   if (window) {
-    while (windowEnds_ <= o_.runtime.now()) windowEnds_ = windowEnds_ + o_.settings.window;
+    while (windowEnds_ <= leadership_.runtime.now())
+      windowEnds_ = windowEnds_ + leadership_.settings.window;
   }
   const Standing& before = copy_.standing();
   Seen what = seen(window);
   Standing s = decideStanding(copy_.policy().get(), copy_.version(), before, what,
-                              o_.settings.spreadMultiple, random_);
+                              leadership_.settings.spreadMultiple, random_);
   if (window) {
     coverServices(s);
     chooseHolders(s);
@@ -52,24 +53,24 @@
     logInfo(s.storm ? "storm" : "storm is over", "lost",
             s.storm ? s.storm->lost : before.storm->lost, "missing", what.missing);
   }
-  Transaction t = o_.begin();
-  t.conditions.push_back({keys::kStanding, o_.replica.stampOf(keys::kStanding)});
+  Transaction t = leadership_.begin();
+  t.conditions.push_back({keys::kStanding, leadership_.replica.stampOf(keys::kStanding)});
   t.writes.push_back({keys::kStanding, toJson(s), std::nullopt});
   if (window) charge(t, s, what.nowMs);
-  if (toJson(s).dump().size() > o_.platform.valueBytes) {
+  if (toJson(s).dump().size() > leadership_.platform.valueBytes) {
     // More holders than a value takes: the next leader chooses them anew.
     for (auto& [image, held] : s.pools) held.machines.clear();
     t.writes[0].value = toJson(s);
   }
-  return Turn::of(Commit{std::move(t), [this] { o_.replan = true; }, "what is in force"});
+  return Turn::of(Commit{std::move(t), [this] { leadership_.replan = true; }, "what is in force"});
 }
 
 Seen PolicyDuty::seen(bool windowEnds) {
   Seen s;
-  s.nowMs = o_.timeOfDay();
+  s.nowMs = leadership_.timeOfDay();
   s.windowEnds = windowEnds;
   if (!windowEnds) return s;
-  Instant now = o_.runtime.now();
+  Instant now = leadership_.runtime.now();
   s.firstMachines = firstMachines();
   s.lost = fleet_.lost() - std::exchange(lostBefore_, fleet_.lost());
   s.lateBoots = fleet_.neverBooted() - std::exchange(lateBefore_, fleet_.neverBooted());
@@ -80,7 +81,7 @@
     ++s.machines;
     if (m.noticeEnds && noticed_.insert(id).second) ++s.notices;
     for (const auto& [attempt, since] : m.seenRunning) {
-      const auto* job = o_.replica.job(attempt.task.job);
+      const auto* job = leadership_.replica.job(attempt.task.job);
       if (job && job->record.spec && since > startsSince_) ++starts[job->record.spec->image];
     }
   }
@@ -88,7 +89,7 @@
   // What ran when this leader came is no start.
   if (startsSince_ != Instant{}) s.starts = std::move(starts);
   startsSince_ = now;
-  for (const auto& [id, job] : o_.replica.live()) {
+  for (const auto& [id, job] : leadership_.replica.live()) {
     if (!job->active() || !job->record.spec || !copy_.protects(*job->record.spec)) continue;
     std::uint32_t up = 0;
     for (const auto& [index, at] : job->placed) {
@@ -103,10 +104,10 @@
 // Machines' worth of what those who go first take or wait for.
 double PolicyDuty::firstMachines() const {
   double sum = 0;
-  for (const auto& [id, job] : o_.replica.live()) {
+  for (const auto& [id, job] : leadership_.replica.live()) {
     if (!job->active() || !job->record.spec || copy_.standing(*job->record.spec) != 1) continue;
     double share = 1;
-    for (const auto& type : o_.catalogue->types) {
+    for (const auto& type : leadership_.catalogue->types) {
       if (job->record.spec->allowsType(type.id)) {
         share = std::min(share, job->record.spec->perTask.shareOf(type.room));
       }
@@ -123,10 +124,10 @@
   std::vector<CoverMachine> machines;
   std::vector<CoverReplicas> replicas;
   std::map<ZoneId, std::uint32_t> zones;
-  Instant now = o_.runtime.now();
-  for (const auto& [id, record] : o_.replica.machines()) {
+  Instant now = leadership_.runtime.now();
+  for (const auto& [id, record] : leadership_.replica.machines()) {
     const Machine* m = fleet_.find(id);
-    const MachineType* type = o_.catalogue->find(record.type);
+    const MachineType* type = leadership_.catalogue->find(record.type);
     if (!m || !type || !fleet_.usable(*m, now)) continue;
     auto zone = zones.try_emplace(record.zone, static_cast<std::uint32_t>(zones.size())).first;
     CoverMachine c{zone->second, record.spot ? 0.0 : 1.0, {}};
@@ -159,7 +160,7 @@
 // Machines that hold an image stay chosen as long as they hold it; new ones where the fewest are.
 void PolicyDuty::chooseHolders(Standing& s) const {
   if (!copy_.policy()) return;
-  Instant now = o_.runtime.now();
+  Instant now = leadership_.runtime.now();
   for (const auto& pool : copy_.policy()->pools) {
     double perHour = 0;  // of machines that only hold
     for (const auto& image : pool.images) {
@@ -168,8 +169,8 @@
       std::vector<const Machine*> fit;
       std::set<MachineId> kept;
       auto take = [&](const Machine& m) {
-        const auto* record = o_.replica.machine(m.id);
-        const MachineType* type = o_.catalogue->find(m.type);
+        const auto* record = leadership_.replica.machine(m.id);
+        const MachineType* type = leadership_.catalogue->find(m.type);
         bool idle = record && record->tasks.empty();
         double price = !type || !idle ? 0 : m.spot ? type->spotPrice : type->price;
         // A pool at its budget shrinks.
@@ -182,7 +183,7 @@
       for (const auto& [id, m] : fleet_.machines()) {
         if (!fleet_.usable(m, now)) continue;
         bool holds = std::any_of(m.images.begin(), m.images.end(), [&](const Machine::Image& i) {
-          bool it = i.held && o_.replica.imageNumber(image) == i.id;
+          bool it = i.held && leadership_.replica.imageNumber(image) == i.id;
           if (it) held.gb = i.gb;
           return it;
         });
@@ -224,8 +225,8 @@
       }
     }
   }
-  for (const auto& [id, state] : o_.replica.machines()) {
-    const MachineType* type = o_.catalogue->find(state.type);
+  for (const auto& [id, state] : leadership_.replica.machines()) {
+    const MachineType* type = leadership_.catalogue->find(state.type);
     if (!type || state.rental.empty()) continue;
     const Machine* m = fleet_.find(id);
     MachineTime time;
@@ -242,7 +243,7 @@
   }
   record.throughMs = now;
   auto put = [&](const std::string& key, std::optional<Json> value) {
-    t.conditions.push_back({key, o_.replica.stampOf(key)});
+    t.conditions.push_back({key, leadership_.replica.stampOf(key)});
     t.writes.push_back({key, std::move(value), std::nullopt});
   };
   put(keys::numbered(keys::kPaidHour, hour), toJson(record));
--- a/src/policy/duty.hpp
+++ b/src/policy/duty.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "fleet/fleet.hpp"
-#include "leadership/office.hpp"
+#include "leadership/leadership.hpp"
 #include "policy/copy.hpp"
 #include "policy/cover.hpp"
 
@@ -11,8 +11,8 @@
 
 class PolicyDuty : public Duty {
  public:
-  PolicyDuty(Office& office, Fleet& fleet, PolicyCopy& copy)
-      : o_(office), fleet_(fleet), copy_(copy), random_(office.token.value) {}
+  PolicyDuty(Leadership& leadership, Fleet& fleet, PolicyCopy& copy)
+      : leadership_(leadership), fleet_(fleet), copy_(copy), random_(leadership.token.value) {}
 
   Turn next() override;
   void tick() override;
@@ -24,7 +24,7 @@
   void chooseHolders(Standing& s) const;
   void charge(Transaction& t, const Standing& s, std::int64_t now) const;
 
-  Office& o_;
+  Leadership& leadership_;
   Fleet& fleet_;
   PolicyCopy& copy_;
   std::mt19937_64 random_;
--- a/src/reach/detour.hpp
+++ b/src/reach/detour.hpp
@@ -1,5 +1,5 @@
 // A service of the region (state service, cloud) that is asked through a peer while the own link to
-// it fails: one link that is lost costs neither the office nor the users of this controller.
+// it fails: one link that is lost costs neither the leadership nor the users of this controller.
 // Requests and answers pass unchanged, so what an answer proves, and what none leaves open, is the
 // same on both ways (docs/safety.md, "Links").
 #pragma once
--- a/src/reach/relay.hpp
+++ b/src/reach/relay.hpp
@@ -74,8 +74,8 @@
   std::optional<MemberId> peerFor(const std::string& address) const;
   Instant probedAt_{};
   std::map<MemberId, Instant> throughPeer_;  // when what was answered through it had been sent
-  // Workers that did not answer directly: the next command goes through a peer, since the way to some
-  // of them alone may be cut.
+  // Workers that did not answer directly: the next command goes through a peer, since the way to
+  // some of them alone may be cut.
   std::map<std::string, Instant> failedDirectly_;
   std::map<MemberId, Instant> failedThrough_;
   struct Via {
--- a/src/reach/route.cpp
+++ b/src/reach/route.cpp
@@ -16,11 +16,12 @@
   bool leaseOnly = mayRenewAlone(v);
   if (!v.leader) {
     // The holder renews its lease out of our sight, so it lives: only the link between us is cut.
-    if (v.holder && v.holderUnheard > v.keyLife && mayMove && v.mayPoint) return {Way::sendTo, v.holder};
+    if (v.holder && v.holderUnheard > v.keyLife && mayMove && v.mayPoint)
+      return {Way::sendTo, v.holder};
     // Cut off from everything while workers of other zones get here: it is this controller that is
     // cut off, not its zone, so they reach the others, where orders come from.
-    // Its own zone's workers, too, then: kept here on lease-only answers they look dead to the leader (8 to
-    // 16 of 24 replicas were given up), while they could report to it.
+    // Its own zone's workers, too, then: kept here on lease-only answers they look dead to the
+    // leader (8 to 16 of 24 replicas were given up), while they could report to it.
     if (v.isolated && (v.foreignZone || v.zonesReach) && mayMove) {
       return {Way::refuse, std::nullopt};
     }
--- a/src/reach/route.hpp
+++ b/src/reach/route.hpp
@@ -22,23 +22,23 @@
   Duration keyLife{};        // the longest that a leader key outlives its holder
   // Until when leases may be renewed (LeaseRenewal); empty: the records have not been read.
   std::optional<Instant> renewUntil;
-  Duration contactAge{};     // of the records
-  Token known;               // of the newest leader known of
-  Token reported;            // the worker's
-  bool foreignZone{};        // the worker is in another zone than this controller
-  bool mayPoint = true;      // workers get through to the holder, as far as was tried (Scouts)
-  bool zonesReach{};         // while isolated, workers of other zones have come
-  bool isolated{};           // neither state service nor any peer was reached lately
+  Duration contactAge{};  // of the records
+  Token known;            // of the newest leader known of
+  Token reported;         // the worker's
+  bool foreignZone{};     // the worker is in another zone than this controller
+  bool mayPoint = true;   // workers get through to the holder, as far as was tried (Scouts)
+  bool zonesReach{};      // while isolated, workers of other zones have come
+  bool isolated{};        // neither state service nor any peer was reached lately
   std::optional<Duration> sentAwayAgo;  // since this worker was last sent to another node
   Duration lease{};                     // the workers'
 };
 
 enum class Way {
-  serve,   // this controller leads
-  relay,   // to the leader, whose orders are the answer
+  serve,      // this controller leads
+  relay,      // to the leader, whose orders are the answer
   leaseOnly,  // answered in the leader's stead: keeps the lease, and stops what is over
-  sendTo,  // 421 that names `to`
-  refuse,  // 421 without a name
+  sendTo,     // 421 that names `to`
+  refuse,     // 421 without a name
 };
 
 struct Route {
--- a/src/store/feed.cpp
+++ b/src/store/feed.cpp
@@ -35,8 +35,9 @@
     // again, and the stamps of the keys sort out what is already here.
     replica_.advance(loadEpoch_);
     loaded_ = true;
-    // Not when the last page was sent: pages are asked for again across refusals, and what was cancelled
-    // since the first one may be in none of them (leases would be renewed without knowing of it).
+    // Not when the last page was sent: pages are asked for again across refusals, and what was
+    // cancelled since the first one may be in none of them (leases would be renewed without knowing
+    // of it).
     recordsAsOf_ = loadAsOf_;
     logInfo("records loaded", "revision", loadEpoch_, "jobs", replica_.jobs().size(), "machines",
             replica_.machines().size());
--- a/src/store/feed.hpp
+++ b/src/store/feed.hpp
@@ -25,8 +25,8 @@
   void setInterval(Duration d) { interval_ = d; }
 
   bool loaded() const { return loaded_; }
-  // Each change committed before this is in the copy: when the last successful read was sent, or the
-  // first page of a load.
+  // Each change committed before this is in the copy: when the last successful read was sent, or
+  // the first page of a load.
   Instant recordsAsOf() const { return recordsAsOf_; }
   Duration contactAge() const { return runtime_.now() - recordsAsOf_; }
   bool reachable() const {
@@ -58,7 +58,7 @@
   Instant failingSince_{};
   Instant recordsAsOf_{};
   Instant lastSent_{};
-  Revision loadEpoch_;     // of the first page, and when it was asked for
+  Revision loadEpoch_;  // of the first page, and when it was asked for
   Instant loadAsOf_{};
   std::vector<std::function<void(bool)>> waiting_;  // for the next read
   std::vector<std::function<void(bool)>> served_;   // by the read in flight
--- a/src/store/feed_test.cpp
+++ b/src/store/feed_test.cpp
@@ -21,16 +21,16 @@
 
   // As another controller.
   void write(const std::string& key, const Json& data = Json::object()) {
-    network.send("node1", "state:1",
-                 {"POST", "/commit",
-                  encodeBody({{"when", Json::array()},
-                              {"writes", {{{"set", key}, {"data", data}}}}})},
-                 1000, [](const std::optional<Response>&) {});
+    network.send(
+        "node1", "state:1",
+        {"POST", "/commit",
+         encodeBody({{"when", Json::array()}, {"writes", {{{"set", key}, {"data", data}}}}})},
+        1000, [](const std::optional<Response>&) {});
   }
 };
 
-// Leases were renewed from such a copy as if it were new: what was cancelled since its first page is on
-// none of its pages.
+// Leases were renewed from such a copy as if it were new: what was cancelled since its first page
+// is on none of its pages.
 TEST_F(Load, ThatStraddlesARefusalIsAsOldAsItsFirstPage) {
   for (int i = 0; i < 300; ++i) write("kh/job/j-" + std::to_string(100000 + i));
   clock.runUntil(2000);
@@ -51,8 +51,8 @@
   EXPECT_LT(feed.contactAge(), Duration{2000});
 }
 
-// All twelve replicas of a service that was accepted while a controller that had just come back read the
-// records were placed a second time by it (ran_twice on a day of operations, vhda).
+// All twelve replicas of a service that was accepted while a controller that had just come back
+// read the records were placed a second time by it (ran_twice on a day of operations, vhda).
 TEST_F(Load, ShowsTasksOfAJobThatWasCreatedMeanwhile) {
   for (int i = 0; i < 300; ++i) write("kh/job/j-" + std::to_string(100000 + i));
   clock.runUntil(2000);
--- a/src/store/replica.cpp
+++ b/src/store/replica.cpp
@@ -97,9 +97,10 @@
   // Our own commits are applied before the feed reaches them: an older event of the feed must
   // not bring back a key that we have dropped since.
   if (auto d = drops_.find(c.key); d != drops_.end() && c.stamp <= d->second) return;
-  // A load in pages can show tasks of a job that was created after the page of jobs was read. Its creation
-  // and these tasks are read again as changes, in order: until then this key is not known at all. (Its
-  // stamp was, so the change was taken for an old one, and all tasks of that job were placed twice.)
+  // A load in pages can show tasks of a job that was created after the page of jobs was read. Its
+  // creation and these tasks are read again as changes, in order: until then this key is not known
+  // at all. (Its stamp was, so the change was taken for an old one, and all tasks of that job were
+  // placed twice.)
   if (c.value && c.key.starts_with(keys::kTasks) && !knowsJobOf(c.key)) return;
   if (c.value) {
     stamps_[c.key] = c.stamp;
--- a/tests/scenario_expect.hpp
+++ b/tests/scenario_expect.hpp
@@ -17,8 +17,8 @@
       EXPECT_EQ(w.runningReplicas(words.at(2)), std::stoi(words.at(3)));
     } else if (what == "fewest") {  // expect fewest ID N: replicas at any moment since `watch`
       EXPECT_GE(w.fewest(words.at(2)), std::stoi(words.at(3)));
-    } else if (what == "offices") {  // expect offices most N: begun since `watch`
-      EXPECT_LE(w.offices - officesBefore_, std::stoi(words.at(3)));
+    } else if (what == "leaderships") {  // expect leaderships most N: begun since `watch`
+      EXPECT_LE(w.leaderships - leadershipsBefore_, std::stoi(words.at(3)));
     } else if (what == "served") {  // expect served least SHARE, of every class and team
       w.expectServed(std::stod(words.at(3)));
     } else if (what == "underserved") {  // expect underserved class|team NAME
@@ -58,7 +58,8 @@
         }
       }
       EXPECT_GE(sum, std::stod(words.at(5)));
-    } else if (what == "goneby") {  // expect goneby most S: tasks of cancelled jobs, after the answer
+    } else if (what ==
+               "goneby") {  // expect goneby most S: tasks of cancelled jobs, after the answer
       std::cout << "gone by " << w.goneBy() << " s of " << settings_.cancelS << " s\n";
       EXPECT_LE(w.goneBy(), std::stod(words.at(3)));
     } else if (what == "unanswered") {  // expect unanswered ID: what the check above is for
--- a/tests/scenario_meetings.hpp
+++ b/tests/scenario_meetings.hpp
@@ -1,5 +1,5 @@
-// Meetings of troubles, as the users' page names them: what each does to a world. What is drawn, the
-// world's seed decides.
+// Meetings of troubles, as the users' page names them: what each does to a world. What is drawn,
+// the world's seed decides.
 #pragma once
 
 #include "scenario_troubles.hpp"
@@ -8,17 +8,19 @@
 
 class ScenarioMeetings : public ScenarioTroubles {
  protected:
-  // gap TIMES: the state service refuses the leader alone (0.2 to 14 s); others confirm cancellations, up
-  // to the last 100 ms; then it is down for all for half to twice `cancel_s`, while the workers report as
-  // ever. With it, drawn: which jobs, through whom, a machine that hangs, a controller that ends and is
-  // back within 500 ms, a second refusal before the outage is over.
+  // gap TIMES: the state service refuses the leader alone (0.2 to 14 s); others confirm
+  // cancellations, up to the last 100 ms; then it is down for all for half to twice `cancel_s`,
+  // while the workers report as ever. With it, drawn: which jobs, through whom, a machine that
+  // hangs, a controller that ends and is back within 500 ms, a second refusal before the outage is
+  // over.
   void gap(int times) {
     auto cancel = static_cast<std::int64_t>(settings_.cancelS * 1000);
     for (int i = 0; i < times; ++i) {
       std::int64_t refused = 200 + pick(13800), outage = cancel / 2 + pick(cancel * 3 / 2);
       refuseThenAll(refused, outage);
       for (int n = 0; n < 4; ++n) {
-        cancelThroughOthers(pick(2) ? pick(refused) : refused - pick(100) - 1);  // in the last moment
+        cancelThroughOthers(pick(2) ? pick(refused)
+                                    : refused - pick(100) - 1);  // in the last moment
       }
       if (pick(2)) {
         std::int64_t at = std::max<std::int64_t>(0, refused + pick(3000) - 1500);
@@ -27,7 +29,8 @@
       }
       if (pick(2)) hangOne(refused + pick(cancel));
       bool early = pick(4) == 0;  // the next begins before this one is over
-      world_->runFor(static_cast<double>(refused + (early ? outage / 2 : outage + pick(30000))) / 1000);
+      world_->runFor(static_cast<double>(refused + (early ? outage / 2 : outage + pick(30000))) /
+                     1000);
       if (!world_->broken.empty()) return;
     }
   }
@@ -62,7 +65,8 @@
         for (int n = 0; n < settings_.nodes; ++n) world_->crash(n, n == first ? back : kRestartMs);
       });
       cancelThroughOthers(pick(ms));
-    } else if (what == "unreached") {  // machines with tasks are out of reach or deaf; the leader ends
+    } else if (what ==
+               "unreached") {  // machines with tasks are out of reach or deaf; the leader ends
       auto busy = w.machinesWithTasks();
       for (const auto& host : busy) {
         if (pick(3) != 0) continue;
@@ -76,7 +80,8 @@
       for (int i = 0; i < 3; ++i) w.clock.in(pick(ms), [this] { hangOne(1000 + pick(12000)); });
       for (int i = 0; i < 3; ++i) submitAt(pick(ms));
       for (int i = 0; i < 2; ++i) cancelThroughOthers(pick(ms));
-    } else if (what == "refused") {  // slowly, then the leader alone, then nobody, for over cancel_s
+    } else if (what ==
+               "refused") {  // slowly, then the leader alone, then nobody, for over cancel_s
       w.network.slowState = 300 + pick(1500);
       w.clock.in(ms, [&w] { w.network.slowState = 0; });
       std::int64_t refused = 200 + pick(13800);
@@ -89,9 +94,10 @@
                static_cast<std::int64_t>(settings_.leaseS * 1000) + pick(8000));
       cancelThroughOthers(pick(ms));
       if (pick(2)) crashAt(pick(ms), "leader", pick(900));
-    } else if (what == "launch") {  // with the next placement: its direct launches are held up on the way
-      w.state.onCommit = [this, &w, ms, before = w.state.onCommit, begun = false](
-                             const Json& writes) mutable {
+    } else if (what ==
+               "launch") {  // with the next placement: its direct launches are held up on the way
+      w.state.onCommit = [this, &w, ms, before = w.state.onCommit,
+                          begun = false](const Json& writes) mutable {
         before(writes);
         bool places = std::any_of(writes.begin(), writes.end(), [](const Json& write) {
           return write.value("set", std::string()).starts_with("kh/tasks/");
@@ -118,9 +124,8 @@
   void cancelThroughOthers(std::int64_t at) {
     if (cancelled_ + 1 >= named_.size()) return;
     std::string id = named_[++cancelled_];
-    world_->clock.in(at, [this, id] {
-      world_->abortThrough(id, nodeOf(pick(2) ? "other" : "third"));
-    });
+    world_->clock.in(at,
+                     [this, id] { world_->abortThrough(id, nodeOf(pick(2) ? "other" : "third")); });
   }
   void submitAt(std::int64_t at) {
     JobPlan p;
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -219,7 +219,7 @@
       trafficAt_ = w.now();
     } else if (verb == "watch") {  // watch ID: for `expect fewest`
       w.watch(words.at(1));
-      officesBefore_ = w.offices;
+      leadershipsBefore_ = w.leaderships;
     } else if (verb == "cutzone") {  // cutzone leader|other MODE SECONDS: from everything outside
       int node = w.nodeFrom("leader");
       if (words.at(1) == "other") node = (node + 1) % settings_.nodes;
--- a/tests/sim/virtual_time.hpp
+++ b/tests/sim/virtual_time.hpp
@@ -82,7 +82,8 @@
   Copies copies;
   // This share of transactions gets no answer and is carried out 2 to 12 s later, after newer ones.
   double lateWrites = 0;
-  // This share of direct commands, and of answers to them and to reports, is held up for so long (ms).
+  // This share of direct commands, and of answers to them and to reports, is held up for so long
+  // (ms).
   Copies held;
   std::int64_t slowState = 0;  // longer until an answer of the state service comes (ms)
 
@@ -118,20 +119,22 @@
     std::int64_t back = 0;
     if ((command || request.path == "/agent/beat") && chance(held.share)) back = heldFor();
     if (to == "state") back += slowState;
-    travel(from, to, delay, [this, from, to, address, request, finish, late, back, &sum](bool reset) {
-      if (reset) return finish(std::nullopt);
-      auto server = servers_.find(address);
-      if (server == servers_.end()) return finish(std::nullopt);
-      bool lost = chance(lossOfAnswers) || late;
-      server->second(from, request, [this, from, to, finish, lost, back, &sum](const Response& r) {
-        if (lost) return;
-        sum.bytes += r.body.size();
-        travel(to, from, back + latency(), [finish, r](bool reset) {
-          if (reset) return finish(std::nullopt);
-          finish(r);
-        });
-      });
-    });
+    travel(from, to, delay,
+           [this, from, to, address, request, finish, late, back, &sum](bool reset) {
+             if (reset) return finish(std::nullopt);
+             auto server = servers_.find(address);
+             if (server == servers_.end()) return finish(std::nullopt);
+             bool lost = chance(lossOfAnswers) || late;
+             server->second(from, request,
+                            [this, from, to, finish, lost, back, &sum](const Response& r) {
+                              if (lost) return;
+                              sum.bytes += r.body.size();
+                              travel(to, from, back + latency(), [finish, r](bool reset) {
+                                if (reset) return finish(std::nullopt);
+                                finish(r);
+                              });
+                            });
+           });
   }
 
  private:
@@ -192,7 +195,9 @@
   Instant now() override {
     return {static_cast<std::int64_t>(static_cast<double>(clock_.now()) * rate_)};
   }
-  std::int64_t wallMillis() override { return 1700000000000 + clock_.now() + clockOff; }  // 22:13:20 UTC
+  std::int64_t wallMillis() override {
+    return 1700000000000 + clock_.now() + clockOff;
+  }                           // 22:13:20 UTC
   std::int64_t clockOff = 0;  // its time of day is wrong by so much
   // Stands still: timers, answers and what `whenAwake` is given wait; its clock runs on.
   void freeze(std::int64_t ms) { frozenUntil_ = clock_.now() + ms; }
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -247,10 +247,11 @@
 std::size_t World::runningOf(const std::string& jobClass) const {
   std::size_t n = 0;
   for (const auto& [host, w] : workers) {
-    n += static_cast<std::size_t>(std::count_if(w->tasks.begin(), w->tasks.end(), [&](const auto& t) {
-      const JobPlan* p = plan(t.job);
-      return Worker::on(t) && p && p->jobClass == jobClass;
-    }));
+    n += static_cast<std::size_t>(
+        std::count_if(w->tasks.begin(), w->tasks.end(), [&](const auto& t) {
+          const JobPlan* p = plan(t.job);
+          return Worker::on(t) && p && p->jobClass == jobClass;
+        }));
   }
   return n;
 }
@@ -301,7 +302,8 @@
     if (p->errsAfterS >= 0) return;
   }
   if (p->shape == "daemon") return;
-  double left = results.contains(key) ? 0 : std::max(0.0, p->runS + task.index * p->staggerS - progress[key]);
+  double left =
+      results.contains(key) ? 0 : std::max(0.0, p->runS + task.index * p->staggerS - progress[key]);
   clock.in(ms(left) + 1, [this, &worker, life = task.life, key] {
     worker.whenAwake([this, &worker, life, key] {
       Worker::Task* t = worker.byLife(life);
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -31,7 +31,7 @@
   int maxConnections = 600;
   bool cache = false;     // machines keep the images that they fetched
   bool balancer = false;  // users reach the nodes as PROTOCOL's load balancer lets them
-  bool members = false;  // with keys; users without one are served, too
+  bool members = false;   // with keys; users without one are served, too
 };
 
 // The operator's own key in worlds with members.
@@ -86,8 +86,9 @@
   void watch(const std::string& id) { watched_[id] = runningReplicas(id); }
   int fewest(const std::string& id) const { return watched_.at(id); }
   // Breaks `underserved` if a class, its largest jobs or a team got less than this share of what it
-  // should have: replica time of its services, tasks of its arrays that had time to end. The largest
-  // are the tenth of a class's jobs that asks for most room, at least one; they begin in time, too.
+  // should have: replica time of its services, tasks of its arrays that had time to end. The
+  // largest are the tenth of a class's jobs that asks for most room, at least one; they begin in
+  // time, too.
   void expectServed(double least);
   // Each accepted job that was not cancelled was answered with a 200 within this time.
   void expectAnswered(std::int64_t withinMs) {
@@ -102,7 +103,7 @@
   std::map<std::string, double> underserved(double least, std::int64_t judgedMs) const;
   // The first reason for which this job's tasks wait, as the leader tells.
   std::string whyWaits(const std::string& id);
-  int offices = 0;  // how many leaderships there have been
+  int leaderships = 0;  // how many leaderships there have been
   // "leader" or a number.
   int nodeFrom(const std::string& word) const;
   std::vector<std::string> machinesWithTasks() const { return region.machinesWithTasks(); }
--- a/tests/sim/world_flows.cpp
+++ b/tests/sim/world_flows.cpp
@@ -51,7 +51,7 @@
 void World::watchLeader() {
   if (int now = leaderNode(); now != leader_) {
     leader_ = now;
-    offices += now >= 0 ? 1 : 0;
+    leaderships += now >= 0 ? 1 : 0;
     ledSince_ = clock.now();
     firstStart_ = -1;
   }
