versions: each controller's format of records is on record

While the version in production and this one serve side by side, forms of records that the older can't read must not be written, and nobody could tell whether it still serves.

kh/version/<member> holds {"format": 2}, written at start, on the stamp that was read, only if another or none is there, once a second until it is. MemberVersions::allAtLeast looks at every member of the settings; one that never wrote counts as format 1.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -57,6 +57,8 @@
       store_(runtime, stateWay_, platform.stateAddress,
              platform.stateRequestsPerS / static_cast<double>(platform.nodes())),
       cloud_(runtime, cloudWay_, platform.cloudAddress, platform.cloudRequestsPerS * 0.9),
+      versions_(platform),
+      versionWriter_(runtime, store_, replica_, versions_, platform.member),
       feed_(runtime, store_, replica_, feedSettings(platform, kStoreSilent)),
       jobs_(runtime, store_, feed_, replica_, platform),
       flows_(runtime, store_, feed_, replica_, platform, settings,
@@ -67,6 +69,7 @@
       scouts_(Duration{5000} * static_cast<int>(platform.nodes() - 1) + Duration{1000},
               platform.workerLease, platform.reportEvery) {
   replica_.add(policyCopy_);
+  replica_.add(versions_);
   policyCopy_.timeOfDay = [this] { return timeOfDay(); };
   if (!settings.members.enabled) return;
   metrics_ = std::make_unique<Metrics>();
@@ -123,6 +126,7 @@
   Instant now = runtime_.now();
   if (members_ && ticked_ != Instant{}) members_->tick(kTick, now - ticked_);
   ticked_ = now;
+  if (feed_.loaded()) versionWriter_.tick();
   if (std::any_of(platform_.peers.begin(), platform_.peers.end(),
                   [&](const Peer& p) { return mesh_.heard(p.member, kMeshHeard); })) {
     lastPeer_ = now;
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -16,6 +16,7 @@
 #include "reach/relay.hpp"
 #include "reach/route.hpp"
 #include "reach/scouts.hpp"
+#include "versions/versions.hpp"
 
 namespace kestrelhoist {
 
@@ -39,6 +40,7 @@
   bool leads() const { return leader_ != nullptr; }
   const Replica& replica() const { return replica_; }
   const PolicyCopy& policy() const { return policyCopy_; }
+  const MemberVersions& versions() const { return versions_; }
 
  private:
   static constexpr Duration kMeshHeard{2000};
@@ -92,6 +94,8 @@
   CloudClient cloud_;
   Replica replica_;
   PolicyCopy policyCopy_;
+  MemberVersions versions_;
+  VersionWriter versionWriter_;
   Feed feed_;
   JobService jobs_;
   FlowService flows_;
--- /dev/null
+++ b/src/versions/versions.cpp
@@ -0,0 +1,62 @@
+#include "versions/versions.hpp"
+
+#include <algorithm>
+
+#include "base/log.hpp"
+
+namespace kestrelhoist {
+namespace {
+constexpr Duration kTimeout{1000};
+constexpr Duration kRetry{1000};
+constexpr std::uint64_t kMostFormat = 1000000;
+}  // namespace
+
+MemberVersions::MemberVersions(const Platform& platform) : members_{platform.member} {
+  for (const auto& peer : platform.peers) members_.push_back(peer.member);
+}
+
+bool MemberVersions::owns(const std::string& key) const { return key.starts_with(keys::kVersion); }
+
+void MemberVersions::apply(const std::string& key, const Json* value, Revision) {
+  MemberId member{key.substr(keys::kVersion.size())};
+  auto format = value ? countField(*value, "format") : std::nullopt;
+  if (value && !format) logError("version record can't be read", "member", member);
+  if (format) {
+    formats_[member] = static_cast<unsigned>(std::min(*format, kMostFormat));
+  } else {
+    formats_.erase(member);
+  }
+}
+
+std::optional<unsigned> MemberVersions::formatOf(const MemberId& member) const {
+  auto it = formats_.find(member);
+  return it == formats_.end() ? std::nullopt : std::optional(it->second);
+}
+
+bool MemberVersions::allAtLeast(unsigned format) const {
+  return std::all_of(members_.begin(), members_.end(),
+                     [&](const MemberId& m) { return formatOf(m).value_or(1) >= format; });
+}
+
+VersionWriter::VersionWriter(Runtime& runtime, StoreClient& store, Replica& replica,
+                             const MemberVersions& versions, const MemberId& member)
+    : runtime_(runtime), store_(store), replica_(replica), versions_(versions), member_(member) {}
+
+void VersionWriter::tick() {
+  if (asked_ || versions_.formatOf(member_) == kRecordFormat || !store_.mayAsk()) return;
+  asked_ = true;
+  std::string key = keys::version(member_);
+  Transaction t;
+  t.conditions.push_back({key, replica_.stampOf(key)});
+  t.writes.push_back({key, Json{{"format", kRecordFormat}}, std::nullopt});
+  store_.commit(t, kTimeout, [this, t](const CommitResult& r) {
+    if (r.outcome == Outcome::applied) {
+      logInfo("format of records told", "format", kRecordFormat);
+      replica_.apply({t.writes[0].key, t.writes[0].value, r.epoch});
+    }
+    // Also after an answer: until the feed shows it, or what else is there.
+    runtime_.after(kRetry, [this] { asked_ = false; });
+  });
+}
+
+}  // namespace kestrelhoist
--- a/tests/scenario_expect.hpp
+++ b/tests/scenario_expect.hpp
@@ -78,6 +78,11 @@
       EXPECT_FALSE(w.region.isRented(words.at(2)));
     } else if (what == "waits") {  // expect waits ID WORD: the first reason begins so
       EXPECT_EQ(w.whyWaits(words.at(2)).substr(0, words.at(3).size()), words.at(3));
+    } else if (what == "versions") {  // expect versions all|none N: know that all tell format N
+      auto format = static_cast<unsigned>(std::stoul(words.at(3)));
+      EXPECT_TRUE(words.at(2) == "all" ? w.allKnowFormat(format) : w.noneKnowsFormat(format));
+    } else if (what == "changesof") {  // expect changesof KIND most N: committed, of such keys
+      EXPECT_LE(w.changesByKind[words.at(2)], std::stoul(words.at(4)));
     } else if (what == "leader") {
       EXPECT_GE(w.leaderNode(), 0);
       EXPECT_TRUE(words.size() < 3 || w.leaderNode() != marked_);  // expect leader unmarked
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -175,6 +175,18 @@
   return best;
 }
 
+bool World::allKnowFormat(unsigned format) const {
+  return std::all_of(nodes_.begin(), nodes_.end(), [&](const Node& n) {
+    return !n.controller || n.controller->versions().allAtLeast(format);
+  });
+}
+
+bool World::noneKnowsFormat(unsigned format) const {
+  return std::none_of(nodes_.begin(), nodes_.end(), [&](const Node& n) {
+    return n.controller && n.controller->versions().allAtLeast(format);
+  });
+}
+
 void World::stepClock(int i, std::int64_t ms) {
   Node& n = nodes_[static_cast<std::size_t>(i)];
   n.clockOff += ms;
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -78,6 +78,9 @@
   void setPolicy(const Json& document, const std::string& request);
   // As the newest controller's copy has it; any that lives.
   const PolicyCopy* policy() const;
+  // Whether each controller that lives knows that all tell this format of records, or none does.
+  bool allKnowFormat(unsigned format) const;
+  bool noneKnowsFormat(unsigned format) const;
   // A node's time of day is off by so much from now on, in each of its lives.
   void stepClock(int node, std::int64_t ms);
   void freeze(int node, std::int64_t forMs);  // stands still, its clocks run on
