Jobs that await others: graph of dependencies, records, acceptance, holding back, cancellation

Change: dependencies/ has the graph: pure, incremental, only unfinished jobs (history costs nothing). What follows is derived from the records by every controller: held, cancelled through another, ready since, inherited priority, latest end. Held jobs take no room and are no demand; those about to be ready add theirs to the forecast (DESIGN). Accepted only once every member knows the format, after a read that began later than the request where a job is not known; long lists in records of their own.

--- a/src/app/leader.cpp
+++ b/src/app/leader.cpp
@@ -1,6 +1,7 @@
 #include "app/leader.hpp"
 
 #include "base/log.hpp"
+#include "dependencies/room_ahead.hpp"
 
 namespace kestrelhoist {
 namespace {
@@ -38,8 +39,18 @@
     if (c) return commit(std::move(*c));
     kick();
   };
-  rentals_.upcoming = [this](Duration horizon) { return flows_.upcoming(horizon); };
-  rentals_.ending = [this](Duration horizon) { return flows_.ending(horizon); };
+  rentals_.upcoming = [this](Duration horizon) {
+    auto room = flows_.upcoming(horizon);
+    auto ofJobs = roomOfJobsReadyWithin(leadership_.replica, horizon);
+    room.insert(room.end(), ofJobs.begin(), ofJobs.end());
+    return room;
+  };
+  rentals_.ending = [this](Duration horizon) {
+    auto room = flows_.ending(horizon);
+    auto ofJobs = roomOfAwaitedJobsEndingWithin(leadership_.replica, horizon);
+    room.insert(room.end(), ofJobs.begin(), ofJobs.end());
+    return room;
+  };
   plans_.roomReason = [this](const JobSpec& spec) { return rentals_.roomReason(spec); };
   dispatch_.onNews = [this](Machine& m) { facts_.noteFacts(m); };
   if (leadership_.replica.catalogue())
@@ -195,6 +206,7 @@
 Json Leader::why(const JobId& id) {
   Instant now = leadership_.runtime.now();
   Json waits = Json::array();
+  Json awaits = Json::array();  // the unfinished jobs that it awaits
   auto add = [&](const std::string& why, std::uint32_t tasks) {
     if (tasks > 0) waits.push_back({{"why", why}, {"tasks", tasks}});
   };
@@ -215,6 +227,11 @@
     }
     if (!leadership_.settled) {
       add("the new leader waits for the report round", job->waiting());
+    } else if (job->held()) {
+      for (const auto& awaited : leadership_.replica.dependencies().openAwaits(id)) {
+        awaits.push_back(awaited.value);
+      }
+      add(wordOf(Waits::dependencies), job->tasks);
     } else if (!leadership_.feed.reachable()) {
       add("the state service is out of reach", job->waiting());
     } else {
@@ -222,9 +239,16 @@
     }
     for (const auto& [why, tasks] : placed) add(wordOf(why), tasks);
   }
-  return {{"leader", leadership_.platform.member.value},
-          {"leads_s", toSeconds(now - leadership_.since)},
-          {"waits", std::move(waits)}};
+  Json why = {{"leader", leadership_.platform.member.value},
+              {"leads_s", toSeconds(now - leadership_.since)},
+              {"waits", std::move(waits)}};
+  if (!awaits.empty()) why["awaits"] = std::move(awaits);
+  if (job && job->active() && job->dependencies && job->dependencies->state.latestEndMs) {
+    std::int64_t latestStart =
+        *job->dependencies->state.latestEndMs - job->record.spec->estimate.count();
+    why["slack_s"] = toSeconds(Duration{latestStart - leadership_.runtime.wallMillis()});
+  }
+  return why;
 }
 
 void Leader::onRecordsChanged() {
--- /dev/null
+++ b/src/dependencies/room_ahead.cpp
@@ -0,0 +1,66 @@
+#include "dependencies/room_ahead.hpp"
+
+#include <algorithm>
+#include <unordered_map>
+
+namespace kestrelhoist {
+namespace {
+
+// When unfinished jobs are expected to end, from now on; each job is computed once.
+class ExpectedEnds {
+ public:
+  explicit ExpectedEnds(const Replica& replica) : replica_(replica) {}
+
+  Duration of(const JobId& id) {
+    if (auto known = ends_.find(id); known != ends_.end()) return known->second;
+    const auto* job = replica_.job(id);
+    if (!job) return kUnknown;
+    ends_[id] = kUnknown;  // of records that go round in a circle
+    Duration end = readyIn(replica_.dependencies().openAwaits(id)) + job->record.spec->estimate;
+    ends_[id] = end;
+    return end;
+  }
+  Duration readyIn(const std::vector<JobId>& awaited) {
+    Duration last{0};
+    for (const auto& id : awaited) last = std::max(last, of(id));
+    return last;
+  }
+
+ private:
+  static constexpr Duration kUnknown{std::int64_t{1} << 40};
+  const Replica& replica_;
+  std::unordered_map<JobId, Duration> ends_;
+};
+
+RoomAhead roomOf(const JobState& job, std::uint32_t tasks) {
+  return {job.record.spec->perTask, tasks, job.record.spec->spotAllowed};
+}
+
+}  // namespace
+
+std::vector<RoomAhead> roomOfJobsReadyWithin(const Replica& replica, Duration horizon) {
+  std::vector<RoomAhead> ahead;
+  ExpectedEnds ends(replica);
+  replica.dependencies().eachHeld([&](const JobId& id, const std::vector<JobId>& awaited) {
+    const auto* job = replica.job(id);
+    if (!job || ends.readyIn(awaited) > horizon) return;
+    ahead.push_back(roomOf(*job, job->tasks));
+  });
+  return ahead;
+}
+
+std::vector<RoomAhead> roomOfAwaitedJobsEndingWithin(const Replica& replica, Duration horizon) {
+  std::vector<RoomAhead> leaving;
+  std::set<JobId> counted;
+  replica.dependencies().eachHeld([&](const JobId&, const std::vector<JobId>& awaited) {
+    for (const auto& id : awaited) {
+      const auto* job = replica.job(id);
+      if (!job || job->placed.empty() || job->record.spec->estimate > horizon) continue;
+      if (!counted.insert(id).second) continue;
+      leaving.push_back(roomOf(*job, static_cast<std::uint32_t>(job->placed.size())));
+    }
+  });
+  return leaving;
+}
+
+}  // namespace kestrelhoist
--- a/src/jobs/service.cpp
+++ b/src/jobs/service.cpp
@@ -10,8 +10,12 @@
 // Of the state service's write rate, what one node may use for users in a burst.
 constexpr double kUserWriteShare = 0.4;
 
+// From this format of records on a job may await others; a controller that does not know it would
+// start them too early.
+constexpr unsigned kFormatWithAwaits = 2;
+
 const char* phaseWord(const JobState& job) {
-  switch (job.record.phase) {
+  switch (job.phase()) {
     case JobPhase::done:
       return "done";
     case JobPhase::cancelled:
@@ -32,12 +36,13 @@
 }  // namespace
 
 JobService::JobService(Runtime& runtime, StoreClient& store, Feed& feed, Replica& replica,
-                       const Platform& platform)
+                       const Platform& platform, const MemberVersions& versions)
     : runtime_(runtime),
       store_(store),
       feed_(feed),
       replica_(replica),
       platform_(platform),
+      versions_(versions),
       writes_(platform.stateWritesPerS * kUserWriteShare,
               std::max(2.0, platform.stateWritesPerS * kUserWriteShare)) {}
 
@@ -158,30 +163,134 @@
   } else if (auto never = judge(std::get<JobSpec>(parsed), *types)) {
     refusal = jsonResponse(422, {{"error", never->why}});
   }
-  std::shared_ptr<const JobSpec> spec;
-  Whose whose;
+  std::shared_ptr<const Submission> submission;
   if (!refusal) {
-    std::get<JobSpec>(parsed).id = id;
-    spec = std::make_shared<const JobSpec>(std::get<JobSpec>(std::move(parsed)));
-    if (who) whose = std::make_shared<const JobOwner>(JobOwner{*who, *ref});
-    JobRecord record{
-        spec, JobPhase::active, runtime_.wallMillis(), stretchFor(platform_.valueBytes), nullptr,
-        whose};
-    if (toJson(record).dump().size() + 256 > platform_.valueBytes) {
+    JobSpec spec = std::get<JobSpec>(std::move(parsed));
+    spec.id = id;
+    for (auto& awaited : spec.awaits) awaited = nameOf(awaited.value, who);
+    refusal = judgeAwaits(spec);
+    Whose whose = who ? std::make_shared<const JobOwner>(JobOwner{*who, *ref}) : nullptr;
+    if (auto prepared = prepare(std::move(spec), std::move(whose), request.id)) {
+      submission = std::make_shared<const Submission>(std::move(*prepared));
+    } else {
       refusal = jsonResponse(400, {{"error", "too long"}});
     }
   }
   if (refusal || known(id)) {
     // A job that was accepted before is answered with its state, whatever is sent now.
-    feed_.fresh([this, id, respond, refusal](bool ok) {
-      if (!ok) return respond(retryLater(503));
-      if (const auto* job = known(id)) return respond(stateOf(id, *job, 200));
-      respond(refusal ? *refusal : retryLater(503));
-    });
+    answerAfterRead(id, respond,
+                    [respond, refusal] { respond(refusal ? *refusal : retryLater(503)); });
     return;
   }
-  paced(respond, [this, spec, whose, requestId = request.id, respond] {
-    create(spec, whose, requestId, 3, respond);
+  accept(submission, respond);
+}
+
+std::optional<JobService::Submission> JobService::prepare(JobSpec spec, Whose whose,
+                                                          const std::string& requestId) const {
+  constexpr std::size_t kBesides = 256;  // keys, and what the job's end adds
+  auto fits = [&](const Json& value) {
+    return value.dump().size() + kBesides <= platform_.valueBytes;
+  };
+  Submission s;
+  s.requestId = requestId;
+  s.record.spec = std::make_shared<const JobSpec>(spec);
+  s.record.acceptedAtMs = runtime_.wallMillis();
+  s.record.stretch = stretchFor(platform_.valueBytes);
+  s.record.owner = std::move(whose);
+  if (fits(toJson(s.record))) return s;
+  if (spec.awaits.empty()) return std::nullopt;
+  std::size_t bytes = 0;
+  for (const auto& awaited : spec.awaits) {
+    std::size_t more = awaited.value.size() + 3;  // quotes and a comma
+    if (s.awaitsParts.empty() || bytes + more + kBesides > platform_.valueBytes) {
+      s.awaitsParts.emplace_back();
+      bytes = 0;
+    }
+    bytes += more;
+    s.awaitsParts.back().push_back(awaited);
+  }
+  spec.awaits.clear();
+  s.record.spec = std::make_shared<const JobSpec>(std::move(spec));
+  s.record.awaitsParts = static_cast<std::uint32_t>(s.awaitsParts.size());
+  if (!fits(toJson(s.record))) return std::nullopt;
+  return s;
+}
+
+std::optional<Response> JobService::judgeAwaits(const JobSpec& spec) const {
+  if (spec.awaits.empty()) return std::nullopt;
+  if (!versions_.allAtLeast(kFormatWithAwaits)) return retryLater(503);
+  for (const auto& awaited : spec.awaits) {
+    const auto* job = known(awaited);
+    if (job && job->record.spec->kind == JobKind::service) {
+      return jsonResponse(422, {{"error", "awaits a service, which is never done"}});
+    }
+  }
+  return std::nullopt;
+}
+
+bool JobService::knowsAll(const std::vector<JobId>& jobs) const {
+  return std::all_of(jobs.begin(), jobs.end(), [this](const JobId& id) { return known(id); });
+}
+
+void JobService::answerAfterRead(const JobId& id, const Respond& respond,
+                                 std::function<void()> otherwise) {
+  feed_.fresh([this, id, respond, otherwise = std::move(otherwise)](bool ok) {
+    if (!ok) return respond(retryLater(503));
+    if (const auto* job = known(id)) return respond(stateOf(id, *job, 200));
+    otherwise();
+  });
+}
+
+// What it awaits was accepted, maybe by a node whose commit has not been read here yet: only a read
+// that was sent after the request shows that a job was never accepted.
+void JobService::accept(std::shared_ptr<const Submission> submission, const Respond& respond) {
+  auto awaits = submission->record.spec->awaits;
+  for (const auto& part : submission->awaitsParts) {
+    awaits.insert(awaits.end(), part.begin(), part.end());
+  }
+  auto begin = [this, submission, respond] {
+    paced(respond, [this, submission, respond] { createParts(submission, 0, respond); });
+  };
+  if (knowsAll(awaits)) return begin();
+  answerAfterRead(submission->record.spec->id, respond, [this, submission, awaits, begin, respond] {
+    if (!knowsAll(awaits)) {
+      return respond(jsonResponse(422, {{"error", "awaits a job that was never accepted"}}));
+    }
+    JobSpec spec = *submission->record.spec;
+    spec.awaits = awaits;
+    if (auto refusal = judgeAwaits(spec)) return respond(*refusal);
+    begin();
+  });
+}
+
+// Before the job itself, and only as long as it is not on record: nobody changes them after that.
+void JobService::createParts(std::shared_ptr<const Submission> submission, std::uint32_t from,
+                             const Respond& respond) {
+  const JobId& id = submission->record.spec->id;
+  const auto count = static_cast<std::uint32_t>(submission->awaitsParts.size());
+  if (from >= count) return create(submission, 3, respond);
+  Transaction t;
+  t.requestId = submission->requestId;
+  t.conditions.push_back({keys::job(id), Revision{}});
+  std::size_t bytes = 0;
+  std::uint32_t next = from;
+  while (next < count && t.writes.size() < platform_.transactionOps &&
+         (t.writes.empty() || bytes + platform_.valueBytes <= kMaxTransactionBytes)) {
+    Json value = {{"jobs", jobIdsToJson(submission->awaitsParts[next])}};
+    bytes += platform_.valueBytes;
+    t.writes.push_back({keys::awaits(id, next), std::move(value), std::nullopt});
+    ++next;
+  }
+  ++waiting_;
+  store_.commit(t, kCommitTimeout, [this, submission, next, t, respond](CommitResult r) {
+    --waiting_;
+    if (r.outcome == Outcome::conflict) {
+      return answerAfterRead(submission->record.spec->id, respond,
+                             [respond] { respond(retryLater(503)); });
+    }
+    if (r.outcome != Outcome::applied) return respond(retryLater(503));
+    for (const auto& w : t.writes) replica_.apply({w.key, w.value, r.epoch});
+    createParts(submission, next, respond);
   });
 }
 
@@ -201,43 +310,42 @@
   });
 }
 
-void JobService::create(std::shared_ptr<const JobSpec> spec, Whose whose,
-                        const std::string& requestId, int triesLeft, const Respond& respond) {
+void JobService::create(std::shared_ptr<const Submission> submission, int triesLeft,
+                        const Respond& respond) {
   if (waiting_ >= kMaxWaiting) return respond(retryLater(429));
-  JobRecord record{
-      spec, JobPhase::active, runtime_.wallMillis(), stretchFor(platform_.valueBytes), nullptr,
-      whose};
+  const JobId id = submission->record.spec->id;
   Transaction t;
-  t.requestId = requestId;
-  t.conditions.push_back({keys::job(spec->id), Revision{}});
-  t.writes.push_back({keys::job(spec->id), toJson(record), std::nullopt});
+  t.requestId = submission->requestId;
+  t.conditions.push_back({keys::job(id), Revision{}});
+  t.writes.push_back({keys::job(id), toJson(submission->record), std::nullopt});
   ++waiting_;
-  store_.commit(t, kCommitTimeout, [this, spec, whose, t, triesLeft, respond](CommitResult r) {
+  store_.commit(t, kCommitTimeout, [this, submission, id, t, triesLeft, respond](CommitResult r) {
     --waiting_;
     switch (r.outcome) {
-      case Outcome::applied:
+      case Outcome::applied: {
         replica_.apply({t.writes[0].key, t.writes[0].value, r.epoch});
-        logInfo("job accepted", "job", spec->id, "tasks", spec->tasks, "class", spec->jobClass,
-                "request", t.requestId);
-        // Whatever the copy says by now: nothing was placed before this was committed.
-        if (const auto* job = whose ? known(spec->id) : nullptr) {
-          respond(stateOf(spec->id, *job, 201));
+        const JobRecord& record = submission->record;
+        logInfo("job accepted", "job", id, "tasks", record.spec->tasks, "class",
+                record.spec->jobClass, "request", t.requestId);
+        const auto* job = known(id);
+        // It needs a cancelled job: another node may have told so already.
+        const bool cancelled = job && job->phase() == JobPhase::cancelled;
+        if (job && (record.owner || cancelled)) {
+          respond(stateOf(id, *job, 201));
         } else {
-          respond(jsonResponse(201, {{"ref", spec->id.value}, {"phase", "pending"}}));
+          // Whatever the copy says by now: nothing was placed before this was committed.
+          respond(jsonResponse(201, {{"ref", id.value}, {"phase", "pending"}}));
         }
         if (onCommitted) onCommitted();
         return;
+      }
       case Outcome::conflict:  // known already: by a retry, or by our own lost answer
-        feed_.fresh([this, id = spec->id, respond](bool ok) {
-          const auto* job = ok ? known(id) : nullptr;
-          respond(job ? stateOf(id, *job, 200) : retryLater(503));
-        });
-        return;
+        return answerAfterRead(id, respond, [respond] { respond(retryLater(503)); });
       case Outcome::refused:
         // Rate limit or outage. One more try soon, unless reads fail as well.
         if (triesLeft > 0 && feed_.reachable()) {
-          runtime_.after(Duration{150}, [this, spec, whose, id = t.requestId, triesLeft, respond] {
-            create(spec, whose, id, triesLeft - 1, respond);
+          runtime_.after(Duration{150}, [this, submission, triesLeft, respond] {
+            create(submission, triesLeft - 1, respond);
           });
           return;
         }
--- a/src/jobs/service.hpp
+++ b/src/jobs/service.hpp
@@ -6,13 +6,14 @@
 #include "cloud/catalogue.hpp"
 #include "config/platform.hpp"
 #include "store/feed.hpp"
+#include "versions/versions.hpp"
 
 namespace kestrelhoist {
 
 class JobService {
  public:
   JobService(Runtime& runtime, StoreClient& store, Feed& feed, Replica& replica,
-             const Platform& platform);
+             const Platform& platform, const MemberVersions& versions);
 
   // Answers /v2/runs and below; false if the path is not one of these. `who`: the member that asks,
   // within its own space of names; null: a user without a key.
@@ -31,8 +32,24 @@
   void abort(const JobId& id, int triesLeft, const Request& request, const Respond& respond);
   // Calls `next` once a slot of the write rate is free; refuses when that takes too long.
   void paced(const Respond& respond, std::function<void()> next, int triesLeft = 10);
-  void create(std::shared_ptr<const JobSpec> spec, Whose whose, const std::string& requestId,
-              int triesLeft, const Respond& respond);
+  // A job that may be accepted, as it will be on record.
+  struct Submission {
+    JobRecord record;
+    // What it awaits where that does not fit into its own record: one record each.
+    std::vector<std::vector<JobId>> awaitsParts;
+    std::string requestId;
+  };
+  // Empty: it does not fit into the records.
+  std::optional<Submission> prepare(JobSpec spec, Whose whose, const std::string& requestId) const;
+  // Why it must not be accepted, of what it awaits, as far as the copy tells.
+  std::optional<Response> judgeAwaits(const JobSpec& spec) const;
+  bool knowsAll(const std::vector<JobId>& jobs) const;
+  // Answers with the job's state if it is known after a read that begins now, else as `otherwise`.
+  void answerAfterRead(const JobId& id, const Respond& respond, std::function<void()> otherwise);
+  void accept(std::shared_ptr<const Submission> submission, const Respond& respond);
+  void createParts(std::shared_ptr<const Submission> submission, std::uint32_t from,
+                   const Respond& respond);
+  void create(std::shared_ptr<const Submission> submission, int triesLeft, const Respond& respond);
   std::optional<Invalid> judge(const JobSpec& spec, const Catalogue& catalogue) const;
   const JobState* known(const JobId& id) const;
 
@@ -41,6 +58,7 @@
   Feed& feed_;
   Replica& replica_;
   const Platform& platform_;
+  const MemberVersions& versions_;
   RateBudget writes_;
   std::size_t waiting_ = 0;
   mutable std::optional<Catalogue> catalogue_;
--- a/src/jobs/spec.cpp
+++ b/src/jobs/spec.cpp
@@ -1,6 +1,7 @@
 #include "jobs/spec.hpp"
 
 #include <algorithm>
+#include <set>
 
 namespace kestrelhoist {
 namespace {
@@ -32,6 +33,20 @@
   void fault(const char* name) {
     if (why_.empty()) why_ = std::string("field ") + name + " is missing or invalid";
   }
+  // Names of jobs, each once and none of them this job's own; missing: none.
+  std::vector<JobId> otherJobs(const char* name, const JobId& own) {
+    std::vector<JobId> jobs;
+    const Json* list = field(body_, name);
+    if (!list) return jobs;
+    if (!list->is_array()) return fault(name), jobs;
+    std::set<JobId> known;
+    for (const auto& entry : *list) {
+      auto ref = textOf(entry);
+      if (!ref || !validJobId(*ref) || *ref == own.value) return fault(name), jobs;
+      if (known.insert(JobId{*ref}).second) jobs.emplace_back(*ref);
+    }
+    return jobs;
+  }
   const Json& body() const { return body_; }
   const std::string& why() const { return why_; }
 
@@ -125,10 +140,27 @@
   s.checkpointEvery = fromSeconds(f.amount("snapshot_s"));
   s.saveTime = fromSeconds(f.amount("flush_s"));
   if (field(body, "due_s")) s.deadline = fromSeconds(f.amount("due_s"));
+  s.awaits = f.otherJobs("awaits", s.id);
   if (!f.why().empty()) return Invalid{f.why()};
   return s;
 }
 
+Json jobIdsToJson(const std::vector<JobId>& jobs) {
+  Json list = Json::array();
+  for (const auto& job : jobs) list.push_back(job.value);
+  return list;
+}
+
+std::optional<std::vector<JobId>> jobIdsFrom(const Json& list) {
+  if (!list.is_array()) return std::nullopt;
+  std::vector<JobId> jobs;
+  for (const auto& entry : list) {
+    if (!entry.is_string()) return std::nullopt;
+    jobs.emplace_back(entry.get<std::string>());
+  }
+  return jobs;
+}
+
 Json jobSpecToJson(const JobSpec& s) {
   Json v = {{"class", s.jobClass},
             {"team", s.team.value},
@@ -151,6 +183,7 @@
   }
   if (s.zone) v["zone"] = s.zone->value;
   if (s.deadline) v["deadline_ms"] = s.deadline->count();
+  if (!s.awaits.empty()) v["awaits"] = jobIdsToJson(s.awaits);
   return v;
 }
 
@@ -194,6 +227,12 @@
   }
   if (auto z = textField(v, "zone")) s.zone = ZoneId{*z};
   if (field(v, "deadline_ms")) s.deadline = ms("deadline_ms");
+  if (const Json* awaits = field(v, "awaits")) {
+    auto jobs = jobIdsFrom(*awaits);
+    // A job that awaits something unknown must not start.
+    if (!jobs) return std::nullopt;
+    s.awaits = std::move(*jobs);
+  }
   return s;
 }
 
--- a/src/jobs/spec.hpp
+++ b/src/jobs/spec.hpp
@@ -36,6 +36,7 @@
   Duration checkpointEvery{};  // 0: never saves
   Duration saveTime{};
   std::optional<Duration> deadline;
+  std::vector<JobId> awaits;  // jobs that have to be done before any task starts; no repetitions
 
   bool allowsType(const TypeId& type) const;
   bool checkpoints() const { return checkpointEvery.count() > 0; }
@@ -55,6 +56,10 @@
 // The body of POST /v2/runs.
 std::variant<JobSpec, Invalid> parseSubmission(const Json& body);
 
+// Lists of jobs in records; empty: not such a list.
+Json jobIdsToJson(const std::vector<JobId>& jobs);
+std::optional<std::vector<JobId>> jobIdsFrom(const Json& list);
+
 // The record's own form.
 Json jobSpecToJson(const JobSpec& spec);
 std::optional<JobSpec> jobSpecFromJson(const JobId& id, const Json& value);
--- a/src/leadership/leadership.hpp
+++ b/src/leadership/leadership.hpp
@@ -58,7 +58,4 @@
   std::shared_ptr<int> alive = std::make_shared<int>(0);
 };
 
-// A transaction may be 64 KiB altogether, in text form.
-inline constexpr std::size_t kMaxTransactionBytes = 56 * 1024;
-
 }  // namespace kestrelhoist
--- a/src/placement/plan_duty.cpp
+++ b/src/placement/plan_duty.cpp
@@ -54,6 +54,11 @@
   std::vector<const JobState*> states;
   for (const auto& [id, job] : leadership_.replica.live()) {
     if (!job->active() || !job->record.spec) continue;
+    // No part of its team's limit or guarantee, and no demand: what is about to be ready is.
+    if (job->held()) {
+      waits_.note(id, Waits::dependencies, job->tasks);
+      continue;
+    }
     std::uint32_t waiting = job->waiting();
     auto lost = facts_.again().find(id);
     std::uint32_t again = lost == facts_.again().end() ? 0 : lost->second;
@@ -71,8 +76,8 @@
     }
     if (waiting == 0) continue;
     PlanJob j;
-    j.spec = job->record.spec;
-    j.acceptedAtMs = job->record.acceptedAtMs;
+    j.spec = job->orderedSpec();
+    j.acceptedAtMs = job->readyAtMs();
     j.waiting = waiting;
     if (leadership_.inForce) {
       j.protectedService = leadership_.inForce->protects(*j.spec);
@@ -131,7 +136,7 @@
     }
     for (const auto& t : record.tasks) {
       if (m && m->memory.gone.contains(t.id)) continue;
-      const auto& spec = t.job->record.spec;
+      const auto& spec = t.job->orderedSpec();
       if (!spec) continue;
       in.used[t.job->team] += spec->perTask;
       p.free -= spec->perTask;
@@ -213,7 +218,7 @@
     int standing = leadership_.inForce->standing(*job->record.spec);
     double share = job->record.spec->perTask.shareOf(whole);
     auto placed = static_cast<double>(job->placed.size());
-    if (standing > 0) first += share * (placed + job->waiting());
+    if (standing > 0) first += share * (placed + (job->held() ? 0 : job->waiting()));
     if (standing < 0 && job->waiting() == 0) others += share * placed;
   }
   auto may = leadership_.inForce->machinesForYielding(machines, first);
--- a/src/placement/task_duty.cpp
+++ b/src/placement/task_duty.cpp
@@ -35,7 +35,8 @@
       const auto* job = leadership_.replica.job(id);
       Machine* m = fleet_.find(input->machines[p.machine].id);
       // The picture may be older than what has been read since.
-      if (!m || !fleet_.usable(*m, now) || !job || !job->active() || job->stamp != wanted.stamp) {
+      if (!m || !fleet_.usable(*m, now) || !job || !job->active() || job->held() ||
+          job->stamp != wanted.stamp) {
         leadership_.replan = true;
         continue;
       }
--- a/src/placement/task_writes.hpp
+++ b/src/placement/task_writes.hpp
@@ -98,6 +98,8 @@
       if (ends && ended.insert(id).second) {
         JobRecord record = job.record;
         record.phase = JobPhase::done;
+        // From then on count the times of the jobs that await it.
+        record.endedAtMs = leadership_.runtime.wallMillis();
         t.writes.push_back({keys::job(id), toJson(record), std::nullopt});
         logInfo("job done", "job", id, "tasks", job.tasks);
       }
--- a/src/placement/waiting.cpp
+++ b/src/placement/waiting.cpp
@@ -6,6 +6,8 @@
 
 const char* wordOf(Waits why) {
   switch (why) {
+    case Waits::dependencies:
+      return "jobs that it awaits are not done";
     case Waits::quota:
       return "the team's limit is used up";
     case Waits::capacity:
--- a/src/placement/waiting.hpp
+++ b/src/placement/waiting.hpp
@@ -11,18 +11,19 @@
 namespace kestrelhoist {
 
 enum class Waits {
-  quota,     // the team uses all that it may
-  capacity,  // the cloud refuses machines for it in every zone it may go to
-  boot,      // machines for it are rented and not up yet
-  room,      // nothing is free that it may use, and nothing is rented for it yet
-  held,      // the policy holds it back now
-  stops,     // less important work is stopping for it
-  turn,      // there is room; the changes that the state service takes are used by others first
-  errors,    // its tasks failed wherever they went: tried again after a pause
-  refused,   // workers refused its start: tried again after a pause
-  image,     // on its machine, which fetches the image
-  start,     // on record, the worker has not confirmed it yet
-  silent     // on a machine that is not heard
+  dependencies,  // jobs that it awaits are not done
+  quota,         // the team uses all that it may
+  capacity,      // the cloud refuses machines for it in every zone it may go to
+  boot,          // machines for it are rented and not up yet
+  room,          // nothing is free that it may use, and nothing is rented for it yet
+  held,          // the policy holds it back now
+  stops,         // less important work is stopping for it
+  turn,          // there is room; the changes that the state service takes are used by others first
+  errors,        // its tasks failed wherever they went: tried again after a pause
+  refused,       // workers refused its start: tried again after a pause
+  image,         // on its machine, which fetches the image
+  start,         // on record, the worker has not confirmed it yet
+  silent         // on a machine that is not heard
 };
 const char* wordOf(Waits why);
 
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -11,6 +11,9 @@
 
 namespace kestrelhoist {
 
+// A transaction may be 64 KiB altogether, in text form.
+inline constexpr std::size_t kMaxTransactionBytes = 56 * 1024;
+
 struct Condition {
   std::string key;
   Revision stamp;  // 0: the key must not exist
--- a/src/store/records.cpp
+++ b/src/store/records.cpp
@@ -87,6 +87,8 @@
             {"stretch", r.stretch}};
   if (r.flow) v["flow"] = toJson(*r.flow);
   if (r.owner) v["owner"] = {{"member", r.owner->owner.member}, {"ref", r.owner->ref}};
+  if (r.endedAtMs > 0) v["ended"] = r.endedAtMs;
+  if (r.awaitsParts > 0) v["awaits_parts"] = r.awaitsParts;
   return v;
 }
 
@@ -148,6 +150,8 @@
             : *phase == "cancelled" ? JobPhase::cancelled
                                     : JobPhase::active;
   r.acceptedAtMs = static_cast<std::int64_t>(countField(v, "at").value_or(0));
+  r.endedAtMs = static_cast<std::int64_t>(countField(v, "ended").value_or(0));
+  r.awaitsParts = static_cast<std::uint32_t>(countField(v, "awaits_parts").value_or(0));
   auto stretch = countField(v, "stretch");
   if (!stretch || *stretch < 1 || *stretch > TaskBits::kMost) return std::nullopt;
   r.stretch = static_cast<std::uint32_t>(*stretch);
--- a/src/store/records.hpp
+++ b/src/store/records.hpp
@@ -23,10 +23,15 @@
 inline const std::string kJob = "kh/job/";
 inline const std::string kTasks = "kh/tasks/";
 inline const std::string kRental = "kh/rental/";
+inline const std::string kAwaits = "kh/awaits/";
 inline std::string job(const JobId& id) { return kJob + id.value; }
 inline std::string tasks(const JobId& id, std::uint32_t stretch) {
   return kTasks + id.value + "/" + std::to_string(stretch);
 }
+// One part of a list of awaited jobs that does not fit into the job's own record.
+inline std::string awaits(const JobId& id, std::uint32_t part) {
+  return kAwaits + id.value + "/" + std::to_string(part);
+}
 inline std::string rental(const RentalId& id) { return kRental + id.value; }
 }  // namespace keys
 
@@ -58,6 +63,9 @@
   std::uint32_t stretch{};                  // how many of its tasks share one TasksRecord
   std::shared_ptr<const FlowPart> flow{};   // if its tasks are instances of a flow
   std::shared_ptr<const JobOwner> owner{};  // if a member submitted it with a key
+  std::int64_t endedAtMs{};                 // time of day of its end; 0: not known
+  // The jobs that it awaits are in so many records of their own; 0: in its description.
+  std::uint32_t awaitsParts{};
 };
 
 // Where a task may be.
--- a/src/store/replica.cpp
+++ b/src/store/replica.cpp
@@ -114,6 +114,8 @@
     setJob(JobId{rest(keys::kJob)}, value, c.stamp);
   } else if (c.key.starts_with(keys::kTasks)) {
     setTasks(rest(keys::kTasks), value, c.stamp);
+  } else if (c.key.starts_with(keys::kAwaits)) {
+    setAwaits(rest(keys::kAwaits), value);
   } else if (c.key.starts_with(keys::kRental)) {
     setRental(RentalId{rest(keys::kRental)}, value);
   } else if (c.key.starts_with(keys::kKey)) {
@@ -170,9 +172,78 @@
     flows_.touch(job.record.flow->flow, id);
   }
   if (job.record.owner) memberJobs_.note(job.record.owner->owner, id, stamp);
+  updateDependencies(job, id);
   settle(job, id);
 }
 
+void Replica::setAwaits(const std::string& rest, const Json* value) {
+  auto slash = rest.find('/');
+  std::uint32_t part = 0;
+  if (slash == std::string::npos || !value ||
+      std::from_chars(rest.data() + slash + 1, rest.data() + rest.size(), part).ec != std::errc{}) {
+    return;
+  }
+  const Json* list = field(*value, "jobs");
+  auto jobs = list ? jobIdsFrom(*list) : std::nullopt;
+  if (!jobs) {
+    logError("awaited jobs can't be read", "part", rest);
+    return;
+  }
+  JobId id{rest.substr(0, slash)};
+  awaitsParts_[id][part] = std::move(*jobs);
+  auto it = jobs_.find(id);
+  if (it != jobs_.end()) updateDependencies(it->second, id);
+}
+
+// Takes in what a job awaits, and its end. One whose list is not wholly read is held.
+void Replica::updateDependencies(JobState& job, const JobId& id) {
+  auto facts = factsOf(id);
+  job.awaitsUnread = !facts;
+  if (!facts) return;
+  if (job.record.phase != JobPhase::active) awaitsParts_.erase(id);
+  graph_.update(id, *facts, *this);
+}
+
+std::optional<JobFacts> Replica::factsOf(const JobId& id) const {
+  auto it = jobs_.find(id);
+  if (it == jobs_.end()) return std::nullopt;
+  const JobState& job = it->second;
+  const JobSpec& spec = *job.record.spec;
+  JobFacts facts;
+  facts.phase = job.phase();
+  facts.acceptedAtMs = job.record.acceptedAtMs;
+  facts.endedAtMs = job.record.endedAtMs;
+  facts.priority = spec.priority;
+  facts.estimate = spec.estimate;
+  if (spec.deadline) facts.dueMs = job.record.acceptedAtMs + spec.deadline->count();
+  facts.awaits = spec.awaits;
+  if (job.record.awaitsParts == 0 || job.record.phase != JobPhase::active) return facts;
+  auto parts = awaitsParts_.find(id);
+  if (parts == awaitsParts_.end()) return std::nullopt;
+  for (std::uint32_t part = 0; part < job.record.awaitsParts; ++part) {
+    auto jobs = parts->second.find(part);
+    if (jobs == parts->second.end()) return std::nullopt;
+    facts.awaits.insert(facts.awaits.end(), jobs->second.begin(), jobs->second.end());
+  }
+  return facts;
+}
+
+void Replica::dependenciesChanged(const JobId& id, const DependencyState& state) {
+  auto it = jobs_.find(id);
+  if (it == jobs_.end()) return;
+  JobState& job = it->second;
+  if (!job.dependencies) job.dependencies = std::make_unique<JobDependencies>();
+  job.dependencies->state = state;
+  const JobSpec& spec = *job.record.spec;
+  job.dependencies->ordered = job.record.spec;
+  if (state.priority > spec.priority) {
+    JobSpec raised = spec;
+    raised.priority = state.priority;
+    job.dependencies->ordered = std::make_shared<const JobSpec>(std::move(raised));
+  }
+  if (state.cancelled) settle(job, id);
+}
+
 TasksRecord Replica::stretchOf(const JobState& job, std::uint32_t stretch) const {
   TasksRecord r;
   if (auto bits = job.finished.find(stretch); bits != job.finished.end()) {
@@ -306,6 +377,7 @@
   } else {
     live_.erase(id);
     job.finished.clear();
+    if (job.record.phase != JobPhase::active) job.dependencies.reset();
     if (job.record.phase == JobPhase::done) job.finishedCount = job.tasks;
   }
 }
--- a/src/store/replica.hpp
+++ b/src/store/replica.hpp
@@ -2,10 +2,12 @@
 // were waited for.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <unordered_map>
 
 #include "base/interned.hpp"
+#include "dependencies/job_graph.hpp"
 #include "flows/copy.hpp"
 #include "members/job_index.hpp"
 #include "members/key_ring.hpp"
@@ -24,6 +26,12 @@
   std::map<std::uint32_t, Stretch> stretches;
 };
 
+// Of a job that awaits others or is awaited by others.
+struct JobDependencies {
+  DependencyState state;
+  std::shared_ptr<const JobSpec> ordered;  // with the priority of the jobs that need it
+};
+
 struct JobState {
   JobRecord record;  // spec stays until the job is over and off every machine
   Revision stamp;
@@ -35,7 +43,30 @@
   std::map<std::uint32_t, Placed> placed;  // by task
   std::unique_ptr<FlowJobState> flow;      // null for most jobs
 
-  bool active() const { return record.phase == JobPhase::active; }
+  std::unique_ptr<JobDependencies> dependencies;  // null: awaits none, and none awaits it
+  bool awaitsUnread = false;                      // what it awaits is not wholly read yet
+
+  // Of a job that needs a cancelled one: cancelled, whatever its own record says. None of its tasks
+  // can have started, so nothing has to be stopped or written for that.
+  JobPhase phase() const {
+    bool active = record.phase == JobPhase::active;
+    bool throughAnother = active && dependencies && dependencies->state.cancelled;
+    return throughAnother ? JobPhase::cancelled : record.phase;
+  }
+  bool active() const { return phase() == JobPhase::active; }
+  // Waits for other jobs: none of its tasks may start, and it asks for no room.
+  bool held() const { return awaitsUnread || (dependencies && dependencies->state.held); }
+  // An unfinished job waits for its end.
+  bool awaited() const { return dependencies && dependencies->state.awaited; }
+  // Since when it may run, time of day.
+  std::int64_t readyAtMs() const {
+    std::int64_t lastEnd = dependencies ? dependencies->state.readyAtMs : 0;
+    return std::max(record.acceptedAtMs, lastEnd);
+  }
+  // Its description as work is ordered by it: with the priority of the jobs that need it.
+  const std::shared_ptr<const JobSpec>& orderedSpec() const {
+    return dependencies && dependencies->ordered ? dependencies->ordered : record.spec;
+  }
   bool isFinished(std::uint32_t index) const;
   // Of flows' jobs: failed more often than its rule is tried again.
   bool isGivenUp(std::uint32_t index) const;
@@ -69,7 +100,7 @@
   const TaskOn* find(const AttemptId& id) const;
 };
 
-class Replica {
+class Replica : private JobRecords {
  public:
   // Applies one change unless something as new is already here.
   void apply(const Change& change);
@@ -110,6 +141,8 @@
   JobIndex& memberJobs() { return memberJobs_; }
   // A secret of the controllers, for cursors; empty until one of them has made it.
   const std::string& cursorKey() const { return cursorKey_; }
+  // Which unfinished jobs wait for which others.
+  const JobGraph& dependencies() const { return graph_; }
   // Jobs that are active or still on a machine.
   const std::map<JobId, JobState*>& live() const { return live_; }
 
@@ -122,6 +155,10 @@
   void takeOff(const JobId& id, std::uint32_t index, const Placed& placed);
   void forget(std::map<MachineId, MachineState>::iterator machine);
   void settle(JobState& job, const JobId& id);
+  void setAwaits(const std::string& rest, const Json* value);
+  void updateDependencies(JobState& job, const JobId& id);
+  std::optional<JobFacts> factsOf(const JobId& id) const override;
+  void dependenciesChanged(const JobId& id, const DependencyState& state) override;
 
   std::vector<RecordSlice*> slices_;
   Interned<ImageId> images_;
@@ -132,6 +169,9 @@
   std::unordered_map<std::string, Revision> drops_;  // newer than the cursor
   std::map<JobId, JobState> jobs_;
   std::map<JobId, JobState*> live_;
+  JobGraph graph_;
+  // Parts of lists of awaited jobs, until the job is over.
+  std::map<JobId, std::map<std::uint32_t, std::vector<JobId>>> awaitsParts_;
   std::map<MachineId, MachineState> machines_;
   std::map<RentalId, RentalRecord> rentals_;
   std::optional<LeaderRecord> leader_;
