Planner in modules: state, turns, placement, score, preemption, reservations

Change: one module for each job, with the names of the field: PlanState (what is decided so far), turnsOf (whose turn it is), JobPlacement (where a job may go), MachineScore (the best machine), Preemption (making room by stopping) and Reservations (room gathered for what waited long). The planner itself only takes turns. Constants of scores and costs have names. No logic change. Measured: Planner*:Order*:Consolidate* pass (19 tests).

--- /dev/null
+++ b/src/placement/plan_state.cpp
@@ -0,0 +1,23 @@
+#include "placement/plan_state.hpp"
+
+namespace kestrelhoist {
+
+PlanState::PlanState(const PlanInput& input) : used(input.used) {
+  free.reserve(input.machines.size());
+  soon.reserve(input.machines.size());
+  protectedShare.reserve(input.machines.size());
+  images.reserve(input.machines.size());
+  for (const auto& machine : input.machines) {
+    free.push_back(machine.free);
+    soon.push_back(machine.soon);
+    protectedShare.push_back(machine.kept);
+    images.push_back(machine.images);
+  }
+  plan.unplaced.resize(input.jobs.size());
+  plan.clearing.resize(input.jobs.size());
+  plan.later.resize(input.jobs.size());
+  plan.heldBack.resize(input.jobs.size());
+  plan.overLimit.resize(input.jobs.size());
+}
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/placement/plan_turns.cpp
@@ -0,0 +1,81 @@
+#include "placement/plan_turns.hpp"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace kestrelhoist {
+namespace {
+
+// The largest room in each dimension that a usable machine has.
+Room largestRoom(const PlanInput& input) {
+  Room largest;
+  for (const auto& machine : input.machines) {
+    if (!machine.usable) continue;
+    largest.cpus = std::max(largest.cpus, machine.room.cpus);
+    largest.gpus = std::max(largest.gpus, machine.room.gpus);
+    largest.ramGb = std::max(largest.ramGb, machine.room.ramGb);
+  }
+  return largest;
+}
+
+// How many machines a job may use, counted once for all jobs with the same constraints.
+class MachineCounts {
+ public:
+  explicit MachineCounts(const PlanInput& input) : input_(input) {}
+
+  double of(const PlanJob& job) {
+    auto [count, isNew] = counts_.try_emplace({job.spec->spotAllowed, job.zone}, 0.0);
+    if (isNew) count->second = countFor(job);
+    return count->second;
+  }
+
+ private:
+  double countFor(const PlanJob& job) const {
+    auto mayUse = [&](const PlanMachine& machine) {
+      return machine.usable && (job.spec->spotAllowed || !machine.spot) &&
+             (!job.zone || *job.zone == machine.zone);
+    };
+    return static_cast<double>(
+        std::count_if(input_.machines.begin(), input_.machines.end(), mayUse));
+  }
+
+  const PlanInput& input_;
+  std::map<std::pair<bool, std::optional<std::uint32_t>>, double> counts_;
+};
+
+OrderJob orderJobOf(const PlanJob& job) {
+  OrderJob out;
+  out.spec = job.spec;
+  out.acceptedAtMs = job.acceptedAtMs;
+  out.remainingS = job.remainingS;
+  out.waiting = job.waiting;
+  out.held = job.held;
+  out.begun = job.begun;
+  out.protectedService = job.protectedService;
+  out.standing = job.standing;
+  out.most = job.most;
+  return out;
+}
+
+}  // namespace
+
+std::vector<OrderTurn> turnsOf(const PlanInput& input) {
+  std::vector<OrderJob> jobs;
+  std::vector<double> machinesFor;
+  std::vector<double> shares;
+  jobs.reserve(input.jobs.size());
+  machinesFor.reserve(input.jobs.size());
+  shares.reserve(input.jobs.size());
+  MachineCounts counts(input);
+  Room largest = largestRoom(input);
+  for (const auto& job : input.jobs) {
+    jobs.push_back(orderJobOf(job));
+    machinesFor.push_back(counts.of(job));
+    shares.push_back(job.spec->perTask.shareOf(largest));
+  }
+  return orderOf(jobs, input.nowMs, machinesFor, shares, input.order);
+}
+
+}  // namespace kestrelhoist
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -1,5 +1,7 @@
-// What goes where: waiting tasks to machines, and what is stopped to make room. Pure.
-// Works on a compact picture; its cost follows the machines with room and the tasks that wait.
+// Plans which waiting tasks go to which machines, and what is stopped to make room. Pure: works on
+// a compact copy of the records; its cost follows the machines with room and the tasks that wait.
+// Its parts: plan_turns (whose turn it is), job_placement (where a job may go), machine_score (the
+// best place), preemption (room that others leave) and reservations (room that is gathered).
 #pragma once
 
 #include <map>
@@ -15,6 +17,7 @@
 
 namespace kestrelhoist {
 
+// A running task that may be stopped.
 struct PlanTask {
   AttemptId id;
   std::shared_ptr<const JobSpec> spec;
@@ -22,6 +25,7 @@
   Duration age{};  // since it was seen to run, as far as known
 };
 
+// An image on a machine, or on its way there.
 struct PlanImage {
   std::uint32_t id{};
   double gb{};
@@ -34,6 +38,7 @@
   Room room;
 };
 
+// A machine as the planner sees it.
 struct PlanMachine {
   MachineId id;
   TypeId type;
@@ -51,6 +56,7 @@
   double fetchGbPerS{};
 };
 
+// A job with waiting tasks.
 struct PlanJob {
   std::shared_ptr<const JobSpec> spec;
   std::int64_t acceptedAtMs{};
@@ -71,6 +77,7 @@
   std::set<std::size_t> failedOn;  // machines: others tell more
 };
 
+// All that a plan depends on.
 struct PlanInput {
   std::vector<PlanMachine> machines;
   std::vector<PlanJob> jobs;
@@ -83,17 +90,20 @@
   std::size_t maxJobs{};  // of how many jobs tasks may be placed: the rest waits for the next plan
 };
 
+// A task of a job goes to a machine.
 struct Placement {
   std::size_t job{};      // index in the input
   std::size_t machine{};  // index in the input
 };
 
+// A running task is stopped to make room.
 struct Stop {
   AttemptId id;
   MachineId machine;
   Duration grace{};
 };
 
+// What to do now, and what is left for later.
 struct Plan {
   std::vector<Placement> placements;  // one for each task, the most important first
   std::vector<Stop> stops;
@@ -106,6 +116,7 @@
   bool deferred{};                      // there was room for more jobs than maxJobs
 };
 
+// The same input gives the same plan.
 Plan makePlan(const PlanInput& input);
 
 // Time to save that a stopped task is given.
--- /dev/null
+++ b/src/placement/preemption.cpp
@@ -0,0 +1,123 @@
+#include "placement/preemption.hpp"
+
+#include <algorithm>
+
+namespace kestrelhoist {
+namespace {
+
+// Costs, about in seconds.
+constexpr double kFetchOverhead = 20.0;  // of a machine without the image, beside the fetch
+constexpr double kStopOverhead = 10.0;
+constexpr double kMostLostWork = 300.0;  // that is counted of one stopped task
+// Making room where the image is must cost less than so many fetches of it and one stop.
+constexpr double kWorthOfFetches = 2.0;
+
+double stopCost(const PlanTask& task) {
+  double lostS = task.spec->checkpoints() ? toSeconds(task.spec->saveTime) : toSeconds(task.age);
+  return kStopOverhead + std::min(kMostLostWork, lostS);
+}
+
+// The least important and, among equals, the youngest, which loses the least.
+bool stoppedBefore(const PlanTask* a, const PlanTask* b) {
+  if (a->spec->priority != b->spec->priority) return a->spec->priority < b->spec->priority;
+  return a->age < b->age;
+}
+
+}  // namespace
+
+Preemption::Preemption(const PlanInput& input, PlanState& state, JobPlacement& placement,
+                       const std::vector<std::size_t>& clearable)
+    : input_(input), state_(state), placement_(placement), clearable_(clearable) {}
+
+bool Preemption::makeRoom(PreemptionTarget target) {
+  if (placement_.job().suspect) return false;
+  CandidateQueue& candidates = candidatesFor(target);
+  while (!candidates.empty()) {
+    MachineCandidate best = candidates.top();
+    candidates.pop();
+    auto clearing = clearingOf(best.machine, target);
+    if (!clearing) continue;
+    // Costs change as room is taken: only if it is still the cheapest.
+    MachineCandidate now{-clearing->cost, best.machine};
+    bool dearer =
+        now.value < best.value && !candidates.empty() && now.value < candidates.top().value;
+    if (!dearer) apply(best.machine, clearing->victims);
+    candidates.push(now);
+    if (!dearer) return true;
+  }
+  return false;
+}
+
+// The machines where room can be made, the cheapest first; found at the first call.
+CandidateQueue& Preemption::candidatesFor(PreemptionTarget target) {
+  auto& candidates = candidates_[target == PreemptionTarget::imageHeld ? 1 : 0];
+  if (candidates) return *candidates;
+  candidates.emplace();
+  for (auto m : clearable_) {
+    if (auto clearing = clearingOf(m, target)) candidates->push({-clearing->cost, m});
+  }
+  return *candidates;
+}
+
+// Where the image is wanted, not where there is room already: another machine was preferred to it,
+// and room that is only set aside would keep the task waiting.
+bool Preemption::considered(std::size_t machine, PreemptionTarget target) const {
+  if (!placement_.allowed(machine)) return false;
+  if (placement_.job().failedOn.contains(machine)) return false;
+  if (target == PreemptionTarget::anyMachine) return true;
+  return placement_.holdsImage(machine) && !placement_.fits(machine);
+}
+
+std::optional<Preemption::Clearing> Preemption::clearingOf(std::size_t machine,
+                                                           PreemptionTarget target) const {
+  if (!considered(machine, target)) return std::nullopt;
+  const Room& needed = placement_.spec().perTask;
+  Room room = state_.soon[machine];
+  Clearing clearing;
+  if (!placement_.holdsImage(machine)) {
+    clearing.cost = kFetchOverhead + placement_.fetchSeconds(machine);
+  }
+  if (!needed.fitsIn(room)) {
+    for (const PlanTask* task : stoppableOn(machine)) {
+      if (needed.fitsIn(room)) break;
+      room += task->spec->perTask;
+      clearing.victims.push_back(task);
+      clearing.cost += stopCost(*task);
+    }
+    if (!needed.fitsIn(room)) return std::nullopt;
+  }
+  double worth = kStopOverhead + kWorthOfFetches * placement_.fetchSeconds(machine);
+  if (target == PreemptionTarget::imageHeld && clearing.cost > worth) return std::nullopt;
+  return clearing;
+}
+
+// The tasks there that may be stopped for this job, in the order of stopping.
+Preemption::Victims Preemption::stoppableOn(std::size_t machine) const {
+  bool guaranteed = placement_.withinGuarantee();
+  Victims out;
+  for (const auto& task : input_.machines[machine].stoppable) {
+    if (!state_.stopped.contains(task.id) && mayStop(guaranteed, task)) out.push_back(&task);
+  }
+  std::sort(out.begin(), out.end(), stoppedBefore);
+  return out;
+}
+
+// The two cases in which a task may be stopped for another's sake: a lower priority, or a team that
+// is over its guarantee while the other's is within its own.
+bool Preemption::mayStop(bool guaranteed, const PlanTask& task) const {
+  if (task.spec->priority < placement_.spec().priority) return true;
+  if (!guaranteed || task.team == placement_.job().team) return false;
+  return exceedsGuarantee(state_.used[task.team], input_.teams[task.team].guaranteed);
+}
+
+void Preemption::apply(std::size_t machine, const Victims& victims) {
+  for (const PlanTask* task : victims) {
+    state_.plan.stops.push_back({task->id, input_.machines[machine].id, graceFor(*task->spec)});
+    state_.stopped.insert(task->id);
+    state_.soon[machine] += task->spec->perTask;
+  }
+  state_.soon[machine] -= placement_.spec().perTask;
+  placement_.book(machine);
+}
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/placement/reservations.cpp
@@ -0,0 +1,100 @@
+#include "placement/reservations.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "placement/job_placement.hpp"
+
+namespace kestrelhoist {
+namespace {
+
+constexpr int kMaxJobs = 4;  // with reservations at a time
+// Where the slots of all zones count together.
+constexpr std::uint32_t kAnyZone = 0;
+
+}  // namespace
+
+bool Reservations::Slot::operator<(const Slot& other) const {
+  return std::pair(freeInS, machine) < std::pair(other.freeInS, other.machine);
+}
+
+void Reservations::reserve(const PlanInput& input, const PlanState& state,
+                           const JobPlacement& placement, std::uint32_t tasks) {
+  if (jobs_ >= kMaxJobs) return;
+  bool gang = placement.spec().kind == JobKind::gang;
+  auto slots = earliestSlots(findSlots(input, state, placement), tasks, gang);
+  if (slots.empty()) return;
+  ++jobs_;
+  for (const auto& slot : slots) {
+    // A gang begins when its last place is free.
+    double neededInS = gang ? slots.back().freeInS : slot.freeInS;
+    auto [entry, isNew] =
+        byMachine_.try_emplace(slot.machine, Reservation{neededInS, &placement.job()});
+    if (!isNew) entry->second.neededInS = std::min(entry->second.neededInS, neededInS);
+  }
+}
+
+// All room for tasks of the job, now and as running tasks end; by zone if they must be in one.
+Reservations::SlotsByZone Reservations::findSlots(const PlanInput& input, const PlanState& state,
+                                                  const JobPlacement& placement) const {
+  const JobSpec& spec = placement.spec();
+  SlotsByZone byZone;
+  for (std::size_t m = 0; m < input.machines.size(); ++m) {
+    const auto& machine = input.machines[m];
+    if (!machine.usable || byMachine_.contains(m) || !placement.allowed(m)) continue;
+    auto& slots = byZone[spec.oneZone ? machine.zone : kAnyZone];
+    appendSlots(machine, m, state.free[m], spec.perTask, slots);
+  }
+  return byZone;
+}
+
+void Reservations::appendSlots(const PlanMachine& machine, std::size_t index, Room free,
+                               const Room& perTask, std::vector<Slot>& slots) {
+  auto fill = [&](double freeInS) {
+    while (perTask.fitsIn(free)) {
+      slots.push_back({freeInS, index});
+      free -= perTask;
+    }
+  };
+  auto ends = machine.ends;
+  std::sort(ends.begin(), ends.end(),
+            [](const PlanEnd& a, const PlanEnd& b) { return a.inS < b.inS; });
+  double atS = 0;
+  fill(atS);
+  for (const auto& end : ends) {
+    atS = std::max(atS, end.inS);
+    free += end.room;
+    fill(atS);
+  }
+}
+
+// As many as there are tasks, in the zone where the last of them is free first.
+std::vector<Reservations::Slot> Reservations::earliestSlots(SlotsByZone byZone, std::uint32_t tasks,
+                                                            bool gang) {
+  std::vector<Slot> best;
+  for (auto& [zone, slots] : byZone) {
+    std::sort(slots.begin(), slots.end());
+    if (gang && slots.size() < tasks) continue;
+    if (slots.size() > tasks) slots.resize(tasks);
+    if (slots.empty()) continue;
+    if (best.empty() || slots.back().freeInS < best.back().freeInS) best = std::move(slots);
+  }
+  return best;
+}
+
+std::optional<double> Reservations::neededIn(std::size_t machine, const PlanJob& job) const {
+  auto found = byMachine_.find(machine);
+  if (found == byMachine_.end() || found->second.job == &job) return std::nullopt;
+  return found->second.neededInS;
+}
+
+std::vector<MachineId> Reservations::machines(const PlanInput& input) const {
+  std::vector<MachineId> out;
+  out.reserve(byMachine_.size());
+  for (const auto& [machine, reservation] : byMachine_) {
+    out.push_back(input.machines[machine].id);
+  }
+  return out;
+}
+
+}  // namespace kestrelhoist
