Tests: pipelines of jobs in the worlds, their checker, and proof that it finds each fault

Users of the worlds can submit jobs that await others (submit ... awaits, pipeline, pipelines, ask), some late, some cancelled through drawn nodes; after a cancellation all controllers are asked closely. The checker (tests/sim/pipeline_checks.hpp) adds too_early, orphaned and misjudged; went_back and ran_cancelled know of jobs cancelled through others; a held job is owed service from its release on, one after a cancelled job none. tests/pipeline_checks_test.cpp breaks each rule once, and plays controllers that do not heed awaits.

--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -9,6 +9,7 @@
 #include "region/model/region.hpp"
 #include "sim/balancer.hpp"
 #include "sim/flow_plans.hpp"
+#include "sim/pipeline_checks.hpp"
 #include "sim/virtual_time.hpp"
 
 namespace kestrelhoist::sim {
@@ -29,9 +30,10 @@
   int valueKb = 8, txnOps = 8;
   bool flows = true;
   int maxConnections = 600;
-  bool cache = false;     // machines keep the images that they fetched
-  bool balancer = false;  // users reach the nodes as PROTOCOL's load balancer lets them
-  bool members = false;   // with keys; users without one are served, too
+  bool cache = false;       // machines keep the images that they fetched
+  bool balancer = false;    // users reach the nodes as PROTOCOL's load balancer lets them
+  bool members = false;     // with keys; users without one are served, too
+  bool dropAwaits = false;  // users leave `awaits` out: as for a program that does not heed it
 };
 
 // The operator's own key in worlds with members.
@@ -52,6 +54,12 @@
   std::string jobClass = "any", team = "team";
   std::string image = "img-1";
   double imageGb = 1;
+  std::vector<std::string> awaits;  // submitted once these are accepted
+  std::string awaitsText;           // JSON instead of the list: what no user should send
+  double dueS = -1;
+  bool late = false;         // submitted when those that it awaits are over
+  double cancelAfterS = -1;  // cancelled so long after it was accepted, through a drawn node
+  int via = -1;              // the node that is asked first
 };
 
 using region::Worker;
@@ -115,6 +123,13 @@
   std::size_t runningOf(const std::string& jobClass) const;  // tasks, of all jobs of a class
   int runningBefore(const std::string& id) const;
 
+  // Pipelines (world_pipelines.cpp). All controllers are asked for this job, again and again for a
+  // few seconds; `unsettled`: jobs of pipelines whose users were not told of an end, or that were
+  // not even submitted.
+  void askEverywhere(const std::string& id);
+  void askAllOfPipelines(std::int64_t everyMs, std::int64_t forMs);
+  std::vector<std::string> unsettled() const;
+
   // Flows (world_flows.cpp). Once submitted, a user asks for its state until it is over.
   void submitFlow(const FlowPlanSpec& spec);
   void amendFlow(const FlowPlanSpec& spec);
@@ -147,6 +162,7 @@
   void end(Worker&, const Worker::Task&) override {}
 
   WorldSettings settings;
+  PipelineChecks pipelines;
   std::mt19937_64 random;
   Clockwork clock;
   Network network;
@@ -192,7 +208,17 @@
   };
   void boot(int node);
   region::RegionSettings regionSettings() const;
+  void send(const JobPlan& job);
   void trySubmit(const std::string& id);
+  void onAccepted(const std::string& id);
+  void onOver(const std::string& id);
+  void sendThoseReady();
+  bool isReady(const JobPlan& job) const;
+  // Since when this job is owed service, as its user sees it; -1: it is not, or not yet.
+  std::int64_t owedFrom(const std::string& id, const UserJob& j) const;
+  // Since when its user knows that it, or one before it, is cancelled; -1: not.
+  std::int64_t cancelledSince(const std::string& id, const UserJob& j) const;
+  std::vector<JobPlan> unsent_;  // their users wait for those that they await
   void tryAbort(const std::string& id, int node = -1);
   void poll(const std::string& id);
   void pollUnknown();
