--- a/src/config/platform.cpp
+++ b/src/config/platform.cpp
@@ -111,9 +111,11 @@
     if (!p.teams.emplace(name, team).second) r.fail(path + "name", "is named twice");
   }
   for (auto& [path, t] : r.tables(settings, at, "objectives")) {
-    p.objectives.push_back({r.text(*t, path, "kind"), r.text(*t, path, "class"),
-                            fromSeconds(r.number(*t, path, "within_s", 0)),
-                            r.number(*t, path, "share", 0)});
+    p.objectives.push_back(
+        {r.text(*t, path, "kind"), r.text(*t, path, "class"),
+         // Of kind `deadline` there is none: `times` the jobs' own.
+         fromSeconds(t->contains("within_s") ? r.number(*t, path, "within_s", 0) : 0),
+         r.number(*t, path, "share", 0)});
   }
   const auto& workers = r.table(settings, at, "workers");
   p.reportEvery = fromSeconds(r.number(workers, at + "workers.", "report_s", 0.01));
