--- a/src/config/platform.cpp
+++ b/src/config/platform.cpp
@@ -112,7 +112,9 @@
   }
   for (auto& [path, t] : r.tables(settings, at, "objectives")) {
     p.objectives.push_back({r.text(*t, path, "kind"), r.text(*t, path, "class"),
-                            fromSeconds(r.number(*t, path, "within_s", 0)),
+                            // Of kind `deadline` there is none: `times` the jobs' own.
+                            fromSeconds(t->contains("within_s") ? r.number(*t, path, "within_s", 0)
+                                                                : 0),
                             r.number(*t, path, "share", 0)});
   }
   const auto& workers = r.table(settings, at, "workers");
