Flow service by job: routes, uploads, commits, admission

The list of a member's open flows is written by one function instead of two copies; limits, retries and sizes are named constants. No logic change.

--- /dev/null
+++ b/src/flows/admission.cpp
@@ -0,0 +1,78 @@
+#include "flows/admission.hpp"
+
+#include <algorithm>
+
+namespace kestrelhoist {
+namespace {
+
+constexpr std::size_t kMaxOpenFlows = 64;  // of a member
+constexpr double kRoomTolerance = 1e-6;
+
+Response refused(const std::string& why) { return jsonResponse(422, {{"error", why}}); }
+
+}  // namespace
+
+std::optional<Response> FlowAdmission::refusal(const FlowId& id, const FlowVersion& version,
+                                               const FlowHead& head) const {
+  auto team = platform.teams.find(TeamId{head.team});
+  if (team == platform.teams.end()) return refused("unknown team");
+  if (!types) return retryLater(503);
+  for (const auto& rule : version.graph.rules()) {
+    if (auto refusal = ruleRefusal(rule, team->second.limit)) return refusal;
+  }
+  Outputs outputs;
+  outputs.reserve(version.graph.allOutputs().size());
+  for (auto output : version.graph.allOutputs()) {
+    if (!outputs.insert(output).second) return refused("two instances make the same file");
+  }
+  return outputRefusal(id, head, outputs);
+}
+
+// Whether a task of the rule is larger than any machine or than the team's limit.
+std::optional<Response> FlowAdmission::ruleRefusal(const FlowRule& rule, const Room& limit) const {
+  bool fits = std::any_of(types->types.begin(), types->types.end(),
+                          [&](const MachineType& type) { return rule.perTask.fitsIn(type.room); });
+  if (!fits) return refused("rule " + rule.name + ": no machine type can hold a task");
+  if ((limit.cpus > 0 && rule.perTask.cpus > limit.cpus + kRoomTolerance) ||
+      (limit.gpus > 0 && rule.perTask.gpus > limit.gpus + kRoomTolerance)) {
+    return refused("rule " + rule.name + ": a task needs more than the team's limit");
+  }
+  return std::nullopt;
+}
+
+// A member's own open flows must not make the same files; others never meet, since files are named
+// by member and flow.
+std::optional<Response> FlowAdmission::outputRefusal(const FlowId& id, const FlowHead& head,
+                                                     const Outputs& outputs) const {
+  auto open = replica.flows().openOf(head.team, head.member);
+  if (open.size() >= kMaxOpenFlows && std::find(open.begin(), open.end(), id) == open.end()) {
+    return refused("more than " + std::to_string(kMaxOpenFlows) + " open flows");
+  }
+  for (const auto& otherId : open) {
+    if (otherId == id) continue;
+    const FlowState* other = replica.flows().find(otherId);
+    if (!other || !other->head) continue;
+    if (auto refusal = sharedOutput(id, head, outputs, otherId, *other)) return refusal;
+  }
+  return std::nullopt;
+}
+
+std::optional<Response> FlowAdmission::sharedOutput(const FlowId& id, const FlowHead& head,
+                                                    const Outputs& outputs, const FlowId& otherId,
+                                                    const FlowState& other) const {
+  for (const Digest& digest : {other.head->graph, other.head->from}) {
+    const FlowVersion* version = other.version(digest);
+    if (!version) continue;
+    for (auto output : version->graph.allOutputs()) {
+      if (!outputs.contains(output)) continue;
+      return jsonResponse(
+          409, {{"error", "flow " + head.name + " (" + id.value + ") makes a file that flow " +
+                              other.head->name + " (" + otherId.value + ") makes"},
+                {"other", otherId.value},
+                {"output", hex16(output)}});
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/flows/service_commits.cpp
@@ -0,0 +1,211 @@
+// Flows begin, change to another version and are cancelled.
+#include <algorithm>
+
+#include "base/log.hpp"
+#include "flows/admission.hpp"
+#include "flows/answers.hpp"
+#include "flows/service.hpp"
+
+namespace kestrelhoist {
+namespace {
+
+constexpr std::size_t kMaxNameBytes = 200;  // of a team or a job class
+
+// Flows have all priorities but production, which is for what serves users.
+std::optional<Priority> priorityFrom(const std::string& word) {
+  if (word == "high") return Priority::high;
+  if (word == "standard") return Priority::normal;
+  if (word == "best_effort") return Priority::low;
+  return std::nullopt;
+}
+
+// Team, member and name of a flow; empty: malformed.
+std::optional<FlowHead> headFrom(const Json& body) {
+  auto team = textField(body, "owner");
+  auto member = textField(body, "member");
+  auto name = textField(body, "name");
+  auto jobClass = textField(body, "lane");
+  auto priority = priorityFrom(textField(body, "rank").value_or("best_effort"));
+  if (!team || team->empty() || team->size() > kMaxNameBytes) return std::nullopt;
+  if (!member || !validLabel(*member)) return std::nullopt;
+  if (!name || !validLabel(*name)) return std::nullopt;
+  if (!priority || (jobClass && jobClass->size() > kMaxNameBytes)) return std::nullopt;
+  FlowHead head;
+  head.team = *team;
+  head.member = *member;
+  head.name = *name;
+  head.jobClass = jobClass.value_or("flow");
+  head.priority = static_cast<int>(*priority);
+  head.keepGoing = boolField(body, "keep_going").value_or(false);
+  return head;
+}
+
+const FlowHead* headOf(const FlowState* flow) {
+  return flow && flow->head ? &*flow->head : nullptr;
+}
+
+// Takes no other version any more.
+Response conflictResponse(const FlowId& id, const FlowHead& head) {
+  const char* why =
+      head.phase == FlowPhase::open ? "another version was first" : "the flow is over";
+  return jsonResponse(409, {{"error", why},
+                            {"ref", id.value},
+                            {"phase", wordOf(head.phase)},
+                            {"version", head.version}});
+}
+
+// The head of a flow that changes to the wanted version.
+FlowHead changedHead(FlowHead head, const FlowHead& wanted) {
+  ++head.version;
+  head.from = head.graph;
+  head.graph = wanted.graph;
+  head.keepGoing = wanted.keepGoing;
+  return head;
+}
+
+// The head of a flow that begins with the wanted version.
+FlowHead firstHead(FlowHead wanted, std::int64_t nowMs) {
+  wanted.version = 1;
+  wanted.atMs = nowMs;
+  return wanted;
+}
+
+}  // namespace
+
+void FlowService::commit(const FlowId& id, const Body& body, const Respond& respond) {
+  auto digest = textField(*body, "version");
+  auto base = countField(*body, "base");
+  auto wanted = headFrom(*body);
+  if (!digest || !validDigest(*digest) || !base || !wanted) {
+    return respond(errorResponse(
+        400, "field version, base, owner, member, name or rank is missing or invalid"));
+  }
+  wanted->graph = Digest{*digest};
+  feed_.fresh([this, id, wanted = *wanted, base = *base, respond](bool ok) {
+    if (!ok) return respond(retryLater(503));
+    if (auto answer = answerWithoutCommit(id, wanted, base)) return respond(*answer);
+    const FlowVersion* version = replica_.flows().find(id)->version(wanted.graph);
+    // Texts are handed over in order: the last one tells that all are there.
+    readText(keys::text(id, wanted.graph, version->upload->texts - 1),
+             [this, id, wanted, base, respond](const GetResult& r) {
+               if (!r.ok) return respond(retryLater(503));
+               if (!r.value) return respond(errorResponse(400, "texts are missing"));
+               begin(id, wanted, base, respond);
+             });
+  });
+}
+
+std::optional<Response> FlowService::answerWithoutCommit(const FlowId& id, const FlowHead& wanted,
+                                                         std::uint64_t base) const {
+  const FlowState* flow = replica_.flows().find(id);
+  const FlowHead* head = headOf(flow);
+  if (head && (head->team != wanted.team || head->member != wanted.member)) {
+    return errorResponse(404, "no such flow");
+  }
+  // Asked again: by a retry, or by our own lost answer.
+  if (head && head->graph == wanted.graph && head->version == base + 1) {
+    return headResponse(id, *head, 200);
+  }
+  if (head && (head->version != base || head->phase != FlowPhase::open)) {
+    return conflictResponse(id, *head);
+  }
+  if (!head && base != 0) return errorResponse(404, "no such flow");
+  // One change at a time: the next one may be asked for in a moment.
+  if (head && !head->from.empty()) return retryLater(503);
+  const FlowVersion* version = flow ? flow->version(wanted.graph) : nullptr;
+  if (!version || !version->upload || version->upload->closing) {
+    return errorResponse(404, "no such upload");
+  }
+  if (!version->fault.empty()) return errorResponse(400, version->fault);
+  if (!version->complete()) return errorResponse(400, "parts are missing");
+  return std::nullopt;
+}
+
+void FlowService::begin(const FlowId& id, const FlowHead& wanted, std::uint64_t base,
+                        const Respond& respond) {
+  const FlowState* flow = replica_.flows().find(id);
+  const FlowVersion* version = flow ? flow->version(wanted.graph) : nullptr;
+  const FlowHead* head = headOf(flow);
+  // Read a moment ago; whatever has changed since is found here or by the conditions.
+  if (!version || !version->complete() || version->upload->closing ||
+      (head ? head->version : 0) != base ||
+      (head && (head->phase != FlowPhase::open || !head->from.empty()))) {
+    return respond(retryLater(503));
+  }
+  // In one step with the revisions that are taken below: two flows that make the same file can't
+  // both pass.
+  FlowAdmission admission{replica_, platform_, catalogue_()};
+  if (auto refusal = admission.refusal(id, *version, wanted)) return respond(*refusal);
+  FlowHead next = head ? changedHead(*head, wanted) : firstHead(wanted, runtime_.wallMillis());
+  Transaction t;
+  t.conditions.push_back({keys::flow(id), flow->stamp});
+  t.writes.push_back({keys::flow(id), toJson(next), std::nullopt});
+  t.conditions.push_back({keys::upload(id, wanted.graph), version->stamp});
+  auto open = replica_.flows().openOf(wanted.team, wanted.member);
+  if (std::find(open.begin(), open.end(), id) == open.end()) open.push_back(id);
+  writeOpenFlows(t, wanted, open);
+  send(
+      std::move(t),
+      [this, id, next, respond](const CommitResult& r) {
+        if (r.outcome != Outcome::applied) return respond(retryLater(503));
+        logInfo("flow accepted", "flow", id, "version", next.version);
+        if (onCommitted) onCommitted();
+        respond(headResponse(id, next, next.version == 1 ? 201 : 200));
+      },
+      respond);
+}
+
+void FlowService::cancel(const FlowId& id, int triesLeft, const Respond& respond) {
+  feed_.fresh([this, id, triesLeft, respond](bool ok) {
+    if (!ok) return respond(retryLater(503));
+    const FlowState* flow = replica_.flows().find(id);
+    if (!headOf(flow)) return respond(errorResponse(404, "no such flow"));
+    if (flow->head->phase != FlowPhase::open) {
+      return respond(jsonResponse(200, {{"ref", id.value}, {"phase", wordOf(flow->head->phase)}}));
+    }
+    FlowHead head = cancelledHead(*flow);
+    Transaction t;
+    t.conditions.push_back({keys::flow(id), flow->stamp});
+    t.writes.push_back({keys::flow(id), toJson(head), std::nullopt});
+    auto open = replica_.flows().openOf(head.team, head.member);
+    std::erase(open, id);
+    writeOpenFlows(t, head, open);
+    send(
+        std::move(t),
+        [this, id, triesLeft, respond](const CommitResult& r) {
+          if (r.outcome == Outcome::applied) {
+            logInfo("flow cancelled", "flow", id);
+            if (onCommitted) onCommitted();
+            return respond(jsonResponse(200, {{"ref", id.value}, {"phase", "cancelled"}}));
+          }
+          if (r.outcome == Outcome::conflict && triesLeft > 0) {
+            return cancel(id, triesLeft - 1, respond);
+          }
+          respond(retryLater(503));
+        },
+        respond);
+  });
+}
+
+FlowHead FlowService::cancelledHead(const FlowState& flow) const {
+  FlowHead head = *flow.head;
+  Json now = counts(flow);
+  head.phase = FlowPhase::cancelled;
+  head.from = Digest{};
+  head.done = now["done"].get<std::uint32_t>();
+  head.failed = now["failed"].get<std::uint32_t>();
+  return head;
+}
+
+void FlowService::writeOpenFlows(Transaction& t, const FlowHead& head,
+                                 const std::vector<FlowId>& open) const {
+  std::string key = keys::openFlows(head.team, head.member);
+  Json ids = Json::array();
+  for (const auto& id : open) ids.push_back(id.value);
+  std::optional<Json> value;
+  if (!open.empty()) value = Json::object({{"open", ids}});
+  t.conditions.push_back({key, replica_.stampOf(key)});
+  t.writes.push_back({key, std::move(value), std::nullopt});
+}
+
+}  // namespace kestrelhoist
