Controller by job: leadership, users, reports, peers

Change: one file for each of these; the class stays one and says which function is where. Whether any peer is heard and which of the heard leaders is the newest are asked of Mesh (anyHeard, newestLeader) instead of in three loops and two. Long functions are split; times that several files share are in controller_constants.hpp. No logic change.

--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -19,6 +19,7 @@
 
 namespace kestrelhoist {
 
+// Everything that one process of the cluster does; its parts are in the files named below.
 class Controller {
  public:
   // `boot` must differ between the lives of a process.
@@ -41,39 +42,61 @@
   const PolicyCopy& policy() const { return policyCopy_; }
 
  private:
-  static constexpr Duration kMeshHeard{2000};
-  static constexpr Duration kStoreSilent{2000};
-  static constexpr Duration kStandInAfter{1500};
-  static constexpr Duration kLeaseLife{3000};
-  static constexpr Duration kRelayDoubt{3000};  // reports passed on in vain for so long
-
+  // controller.cpp
+  void enableMembers(const std::string& boot);
   void tick();
+  void noteHolder(Instant now);
+  void sweep(Instant now);
+  void onRecordsChanged();
+
+  // controller_leadership.cpp
   void runElection();
-  // Users' requests, as this node's own records answer them; false: not a path of users.
-  // Adds to a job's state, once it is answered, why its tasks wait, as the leader knows.
-  Respond withReasons(const Respond& respond);
-  bool answerUser(const Request& request, const Respond& respond, bool hold);
+  bool leavesToOthers(const Election::View& view);
+  // How long it leaves the leadership to others that are nearer to the workers.
+  Duration candidacyDelay() const;
+  void claimLeadership();
+  void renewLeadership();
   void beginLeadership();
+  void startLeader();
+  // What peers know of workers that this new leader has not heard.
+  void askPeersForAnswered();
   void stepDown(const std::string& why, bool dropLease, Duration holdBack);
   void watchLeadership();
-  void onRecordsChanged();
+  void watchWorkers();
+  // Until when leases may be renewed; empty: not at all. Every 200 to a worker asks it.
+  std::optional<Instant> renewUntil() const;
+  bool mayRenew() const;
+  // How many machines this leadership has heard.
+  std::size_t heardMachines() const;
+
+  // controller_users.cpp
+  void onUserRequest(const std::string& path, const Request& request, const Respond& respond,
+                     bool secure);
+  bool isUserPath(const std::string& path) const;
+  void forwardToPeer(const MemberId& peer, const Request& request, const Respond& respond);
+  // Users' requests, as this node's own records answer them; false: not a path of users.
+  bool answerUser(const Request& request, const Respond& respond, bool hold);
+  // Adds to a job's state, once it is answered, why its tasks wait, as the leader knows.
+  Respond withReasons(const Respond& respond);
+  Response ready();
+
+  // controller_reports.cpp
   void onBeat(const Request& request, const Respond& respond);
+  Instant noteWorker(const Report& report);
+  ReportView reportView(const Report& report) const;
+  void addUnheardHolder(const Report& report, ReportView& v) const;
   // As the leader. `via`: the peer that passed the report on.
   Response serveReport(const Report& report, const std::optional<MemberId>& via);
-  ReportView reportView(const Report& report) const;
+  Response answerUnrelayed(const Report& report);
+  Response answerAlone(const Report& report, const Route& route);
   Response leaseOnlyAnswer(const Report& report) const;
-  // Until when leases may be renewed; empty: not at all. Every 200 to a worker asks it.
-  std::optional<Instant> renewUntil() const;
-  bool mayRenew() const;
   Response sendAway(const Report& report, const std::optional<MemberId>& to);
-  // What peers know of workers that this new leader has not heard.
-  void askPeersForAnswered();
+
+  // controller_peers.cpp
   bool onMeshService(const Request& request, const Respond& respond);
-  Response ready();
   PeerStatus status() const;
+  // The time of day, as this controller and its peers have it.
   std::int64_t timeOfDay() const;
-  // How many machines this leadership has heard.
-  std::size_t heardMachines() const;
 
   Runtime& runtime_;
   HttpClient& http_;
@@ -111,8 +134,6 @@
   std::map<MachineId, Instant> sentAway_;  // workers told to go elsewhere, when
   std::optional<Instant> holderUnheardSince_;
   Instant started_{};
-  // How long it leaves the leadership to others that are nearer to the workers.
-  Duration standsAfter() const;
   std::optional<Instant> leaderMissingSince_;
 };
 
--- /dev/null
+++ b/src/app/controller_constants.hpp
@@ -0,0 +1,19 @@
+// Times and bounds that several parts of a controller share.
+#pragma once
+
+#include "base/types.hpp"
+
+namespace kestrelhoist {
+
+// How often the records are read.
+inline constexpr Duration kFollowerRead{500};
+inline constexpr Duration kLeaderRead{250};
+inline constexpr Duration kStoreTimeout{1000};
+inline constexpr Duration kStoreSilent{2000};  // without contact for so long, it counts as lost
+// Of the leader's lease.
+inline constexpr Duration kLeaseLife{3000};
+inline constexpr Duration kLeaseRenew{700};
+inline constexpr Duration kMeshHeard{2000};       // a peer that spoke within it is present
+inline constexpr Duration kForwardTimeout{1800};  // of what is passed on to a peer
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/app/controller_leadership.cpp
@@ -0,0 +1,208 @@
+// The election, and what the holder of the lease does: it begins to lead, watches whether it may go
+// on, and steps down.
+#include <algorithm>
+
+#include "app/controller.hpp"
+#include "app/controller_constants.hpp"
+#include "base/log.hpp"
+
+namespace kestrelhoist {
+namespace {
+
+// Several machines do not fall silent in one moment unless the way to them is cut: no need to wait
+// until they have turned up elsewhere, which takes a worker's patience out of its lease.
+constexpr std::size_t kSeveralMachines = 3;
+
+}  // namespace
+
+void Controller::runElection() {
+  Instant now = runtime_.now();
+  if (!feed_.loaded()) return;
+  Election::View view{feed_.contactAge() < Duration{1000}, replica_.leader(),
+                      replica_.leaderToken()};
+  if (leavesToOthers(view)) return;
+  bool led = election_.leads();
+  auto step = election_.tick(now, view);
+  if (led && !election_.leads()) {
+    stepDown("another leads or the lease ended", false, Duration{0});
+    return;
+  }
+  if (step == Election::Step::grant) claimLeadership();
+  if (step == Election::Step::renew) renewLeadership();
+  if (election_.leads() && !leader_) beginLeadership();
+}
+
+// Candidates that hear workers go first; the others follow a little later.
+bool Controller::leavesToOthers(const Election::View& view) {
+  if (election_.leads() || !view.fresh || view.leader) {
+    leaderMissingSince_.reset();
+    return false;
+  }
+  Instant now = runtime_.now();
+  if (!leaderMissingSince_) leaderMissingSince_ = now;
+  return now - *leaderMissingSince_ < candidacyDelay();
+}
+
+// One that has heard workers and hears them no more is cut off from them: it would hold the
+// leadership and take all of them for dead (203 healthy machines given back within a second). It
+// leaves time for the others to read that the leadership is free. One that has just started does
+// not know yet.
+Duration Controller::candidacyDelay() const {
+  Duration silence = runtime_.now() - lastWorker_;
+  if (silence < platform_.reportEvery * 5 / 4 + Duration{1000}) return Duration{0};
+  return lastWorker_ < started_ ? Duration{400} : Duration{1500};
+}
+
+// The lease first, then the key with it on the condition that nobody holds it.
+void Controller::claimLeadership() {
+  store_.grantLease(kLeaseLife, kStoreTimeout, [this](std::optional<LeaseId> lease) {
+    election_.onGranted(lease);
+    if (election_.role() != Election::Role::claiming) return;
+    Transaction t;
+    t.conditions.push_back({keys::kLeader, Revision{election_.claimStamp().value}});
+    t.writes.push_back({keys::kLeader, toJson(election_.record()), lease});
+    store_.commit(t, kStoreTimeout, [this, t](CommitResult r) {
+      election_.onClaimed(runtime_.now(), r);
+      if (r.outcome == Outcome::applied) {
+        replica_.apply({t.writes[0].key, t.writes[0].value, r.epoch});
+        beginLeadership();
+      }
+    });
+  });
+}
+
+void Controller::renewLeadership() {
+  store_.renewLease(*election_.lease(), kStoreTimeout, [this](LeaseOutcome o) {
+    bool leads = election_.leads();
+    election_.onRenewed(o);
+    if (leads && !election_.leads()) {
+      stepDown("the lease has ended", false, Duration{0});
+    }
+  });
+}
+
+// Acts only once everything up to the election has been read.
+void Controller::beginLeadership() {
+  if (beginningLeadership_ || leader_ || !election_.leads()) return;
+  beginningLeadership_ = true;
+  feed_.fresh([this](bool ok) {
+    beginningLeadership_ = false;
+    if (!ok || leader_ || !election_.leads()) return;
+    if (!election_.isMine(replica_.leader()) || replica_.leaderToken() != election_.token()) return;
+    startLeader();
+  });
+}
+
+void Controller::startLeader() {
+  feed_.setInterval(kLeaderRead);
+  workerLine_.forget();
+  Leadership leadership{runtime_,    store_,    feed_,     replica_,          cloud_,
+                        workerLine_, platform_, settings_, election_.token(), runtime_.now()};
+  leadership.workersReached = [this](Instant sent) { return workerLine_.reachedSince(sent); };
+  leadership.inForce = &policyCopy_;
+  leadership.timeOfDay = [this] { return timeOfDay(); };
+  leader_ = std::make_unique<Leader>(leadership, planner_, policyCopy_, [this](const ZoneId& zone) {
+    return std::any_of(platform_.peers.begin(), platform_.peers.end(),
+                       [&](const Peer& p) { return p.zone == zone && mesh_.mayLive(p.member); });
+  });
+  for (const auto& [machine, at] : answered_.all()) leader_->fleet().answeredElsewhere(machine, at);
+  askPeersForAnswered();
+}
+
+// A worker that nobody answers any more is known by when it was answered last: else a new leader
+// counts its silence from its own first moment, and its tasks are long over before it is given up.
+void Controller::askPeersForAnswered() {
+  for (const auto& peer : platform_.peers) {
+    mesh_.send(peer.member, {"POST", "/mesh/answered", encodeBody(Json::object())}, Duration{2000},
+               [this, token = election_.token()](const std::optional<Response>& r) {
+                 if (!leader_ || leader_->token() != token || !r || r->status != 200) return;
+                 auto body = decodeBody(r->body);
+                 if (!body) return;
+                 for (const auto& [machine, at] : Answered::from(*body, runtime_.now())) {
+                   leader_->fleet().answeredElsewhere(machine, at);
+                 }
+               });
+  }
+}
+
+void Controller::stepDown(const std::string& why, bool dropLease, Duration holdBack) {
+  logInfo("no longer leading", "token", election_.token(), "why", why);
+  lastToken_ = std::max(lastToken_, election_.token());
+  auto lease = election_.lease();
+  if (dropLease && lease) store_.dropLease(*lease);
+  election_.stepDown(runtime_.now() + holdBack);
+  feed_.setInterval(kFollowerRead);
+  // Not from within one of its own calls.
+  if (leader_) {
+    std::shared_ptr<Leader> old(std::move(leader_));
+    runtime_.after(Duration{0}, [old] {});
+  }
+}
+
+void Controller::watchLeadership() {
+  if (!election_.leads()) return;
+  for (const auto& [member, seen] : mesh_.statuses()) {
+    if (seen.first.token > election_.token()) {
+      return stepDown("member " + member.value + " knows a higher token", false, Duration{500});
+    }
+  }
+  if (feed_.loaded() && !mayRenew()) {
+    return stepDown("no contact with the state service for too long", false, Duration{1000});
+  }
+  if (feed_.loaded() && feed_.contactAge() > kStoreSilent &&
+      mesh_.peerWithStore(feed_.failingSince())) {
+    return stepDown("the state service answers others but not this node", false, Duration{3000});
+  }
+  if (leader_) watchWorkers();
+}
+
+// Gives up the lead if it hears no worker although there are some: cut off from them, or all are
+// gone.
+void Controller::watchWorkers() {
+  std::size_t heard = heardMachines();
+  bool expects = heard > 0 || std::any_of(replica_.machines().begin(), replica_.machines().end(),
+                                          [](const auto& m) { return !m.second.tasks.empty(); });
+  Duration unheard = runtime_.now() - std::max(lastWorker_, leader_->fleet().lastHeardAny());
+  Duration patience = platform_.reportEvery * 3 / 2 + Duration{2000};
+  // After a failover workers first give up on the old leader (4 s) and try nodes in turn (1 s
+  // each). A new leader that resigned meanwhile, because they were heard elsewhere in passing,
+  // would cost all of them their leases.
+  if (heard == 0) patience += Duration{6000};
+  if (!expects || unheard < patience) return;
+  bool anyPeer = platform_.peers.empty() || mesh_.anyHeard(kMeshHeard);
+  bool peersHear = false;
+  for (const auto& peer : platform_.peers) {
+    const auto* s = mesh_.heard(peer.member, kMeshHeard);
+    // Whoever hears workers passes their reports on to here: another leader would hear no more.
+    if (s && s->relays && unheard < patience + platform_.workerLease / 2) return;
+    peersHear = peersHear || (s && s->workersAge < unheard);
+  }
+  if (peersHear || !anyPeer || heard >= kSeveralMachines) {
+    stepDown("no worker reports here", true, 5 * platform_.reportEvery + Duration{10000});
+  }
+}
+
+std::optional<Instant> Controller::renewUntil() const {
+  if (!feed_.loaded()) return std::nullopt;
+  Instant asOf = feed_.recordsAsOf();
+  // Running work need not end when nobody can have told of a cancellation that is not known here.
+  // Own commits that were not read back yet may hide placements, and a flow's are not effective
+  // yet.
+  if (auto told = witnesses_.recordsAsOf();
+      told && *told > asOf && feed_.contactAge() > kStoreSilent &&
+      replica_.newestCancellation() <= replica_.cursor() && !replica_.cancelsUnderWay()) {
+    asOf = *told;
+  }
+  return renewal_.until(asOf);
+}
+
+bool Controller::mayRenew() const {
+  auto until = renewUntil();
+  return until && runtime_.now() <= *until;
+}
+
+std::size_t Controller::heardMachines() const {
+  return leader_ ? leader_->fleet().heardCount() : 0;
+}
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/app/controller_peers.cpp
@@ -0,0 +1,102 @@
+// What controllers ask of each other and tell one another.
+#include <algorithm>
+
+#include "app/controller.hpp"
+#include "app/controller_constants.hpp"
+
+namespace kestrelhoist {
+
+void Controller::onMesh(const Request& request, const Respond& respond) {
+  std::string path = request.path.substr(0, request.path.find('?'));
+  if (path == "/mesh/hello" && request.method == "POST") return respond(mesh_.onHello(request));
+  if (path == "/mesh/nudge" && request.method == "POST") {
+    feed_.fresh([](bool) {});
+    return respond(jsonResponse(200, Json::object()));
+  }
+  if (policy_.handle(request, respond) || onMeshService(request, respond)) return;
+  const std::string user = "/mesh/user";
+  if (path.starts_with(user + "/")) {
+    // Answered from this node's own reads; never passed on again.
+    Request inner = request;
+    inner.path = request.path.substr(user.size());
+    if (answerUser(inner, respond, false)) return;
+  }
+  respond(jsonResponse(404, {{"error", "no such path"}}));
+}
+
+// What peers ask whose own links fail.
+bool Controller::onMeshService(const Request& request, const Respond& respond) {
+  auto below = [&](const std::string& prefix) -> std::optional<Request> {
+    if (!request.path.starts_with(prefix + "/")) return std::nullopt;
+    Request inner = request;
+    inner.path = request.path.substr(prefix.size());
+    return inner;
+  };
+  if (auto reports = below("/mesh/reports")) {
+    if (!leader_ || !election_.leads()) {
+      respond(jsonResponse(409, {{"error", "does not lead"}}));
+      return true;
+    }
+    MemberId via{reports->path.substr(1)};
+    respond(answerBatch(request, [&](const Json& item) {
+      auto report = reportFrom(item);
+      if (!report) return jsonResponse(400, {{"error", "not a report"}});
+      return serveReport(*report, via);
+    }));
+  } else if (auto job = below("/mesh/why")) {
+    respond(leader_ ? jsonResponse(200, leader_->why(JobId{job->path.substr(1)}))
+                    : jsonResponse(409, {{"error", "does not lead"}}));
+  } else if (request.path == "/mesh/answered") {
+    respond(jsonResponse(200, answered_.toJson(runtime_.now())));
+  } else if (auto state = below("/mesh/state")) {
+    stateWay_.serve(*state, respond);
+  } else if (auto cloud = below("/mesh/cloud")) {
+    cloudWay_.serve(*cloud, respond);
+  } else if (auto worker = below("/mesh/worker")) {
+    auto slash = worker->path.find('/', 1);
+    if (slash == std::string::npos) return false;
+    std::string address = worker->path.substr(1, slash - 1);
+    worker->path = worker->path.substr(slash);
+    workerLine_.serve(address, *worker, respond);
+  } else {
+    return false;
+  }
+  return true;
+}
+
+PeerStatus Controller::status() const {
+  PeerStatus s;
+  s.member = platform_.member;
+  s.token = std::max(election_.leads() ? election_.token() : Token{}, replica_.leaderToken());
+  s.leading = leader_ != nullptr;
+  // By its own links: what peers reach for it is not for others to build on.
+  auto ageOf = [now = runtime_.now()](const Link& link) {
+    if (!link.lastGood()) return Duration{3600000};
+    return std::clamp(now - *link.lastGood(), Duration{0}, Duration{3600000});
+  };
+  s.storeAge = ageOf(stateWay_.link());
+  s.cloudAge = ageOf(cloudWay_.link());
+  s.relays = true;
+  s.wallMs = runtime_.wallMillis();
+  s.workersAge = std::min(Duration{3600000}, std::max(Duration{0}, runtime_.now() - lastWorker_));
+  if (feed_.loaded()) s.newestCancellation = replica_.newestCancellation();
+  s.ready = feed_.loaded() && jobs_.catalogue() != nullptr;
+  s.deaf = leader_ && heardMachines() > 0 &&
+           s.workersAge > platform_.reportEvery * 3 / 2 + Duration{500};
+  return s;
+}
+
+// The middle of what this controller's clock and its peers' say: one whose clock steps by minutes
+// neither opens a period nor closes one.
+std::int64_t Controller::timeOfDay() const {
+  std::vector<std::int64_t> clocks{runtime_.wallMillis()};
+  for (const auto& peer : platform_.peers) {
+    if (const auto* s = mesh_.heard(peer.member, kMeshHeard); s && s->wallLessSteady) {
+      clocks.push_back(runtime_.now().ms + *s->wallLessSteady);
+    }
+  }
+  std::sort(clocks.begin(), clocks.end());
+  return clocks[(clocks.size() - 1) / 2];
+}
+
+}  // namespace kestrelhoist
--- a/src/leadership/mesh.cpp
+++ b/src/leadership/mesh.cpp
@@ -1,5 +1,7 @@
 #include "leadership/mesh.hpp"
 
+#include <algorithm>
+
 #include "base/log.hpp"
 
 namespace kestrelhoist {
@@ -131,6 +133,21 @@
   return &it->second.first;
 }
 
+bool Mesh::anyHeard(Duration within) const {
+  return std::any_of(peers_.begin(), peers_.end(),
+                     [&](const Peer& peer) { return heard(peer.member, within) != nullptr; });
+}
+
+const PeerStatus* Mesh::newestLeader(Duration within) const {
+  const PeerStatus* newest = nullptr;
+  for (const auto& peer : peers_) {
+    const auto* status = heard(peer.member, within);
+    if (!status || !status->leading) continue;
+    if (!newest || status->token >= newest->token) newest = status;
+  }
+  return newest;
+}
+
 bool Mesh::mayLive(const MemberId& peer) const {
   auto refused = refusals_.find(peer);
   return refused == refusals_.end() ||
--- a/src/leadership/mesh.hpp
+++ b/src/leadership/mesh.hpp
@@ -49,6 +49,10 @@
 
   // What a peer said no longer ago than `within`.
   const PeerStatus* heard(const MemberId& peer, Duration within) const;
+  // Whether any peer spoke no longer ago than `within`.
+  bool anyHeard(Duration within) const;
+  // Of the peers heard `within` that lead, as they say, the one with the highest token; null: none.
+  const PeerStatus* newestLeader(Duration within) const;
   // Whether the peer may be at work out of our sight. One that refused a connection since it was
   // last heard has most likely ended, and has nothing to work with until it has read the records;
   // but a process that ends is started again soon, so long refusals come from a filter between us.
