--- a/src/placement/reservations.cpp
+++ b/src/placement/reservations.cpp
@@ -72,7 +72,8 @@
 std::vector<Reservations::Slot> Reservations::earliestSlots(SlotsByZone byZone, std::uint32_t tasks,
                                                             bool gang) {
   std::vector<Slot> best;
-  for (auto& [zone, slots] : byZone) {
+  for (auto& entry : byZone) {
+    std::vector<Slot>& slots = entry.second;
     std::sort(slots.begin(), slots.end());
     if (gang && slots.size() < tasks) continue;
     if (slots.size() > tasks) slots.resize(tasks);
