Policy: a repetition does not take another operator's change back

Cause: a request whose transaction was carried out while its answer was lost was recognized only as long as its version was the newest. Where another operator's change came in between, the repetition was carried out as a change of its own and took the other's back. And a copy of a transaction that was refused because the first copy had got through (a detour) was answered 409, as another's change. Change: the versions that are kept are looked at, too; after a conflict the records are read first.

--- a/src/policy/service.cpp
+++ b/src/policy/service.cpp
@@ -81,6 +81,14 @@
   return v;
 }
 
+std::optional<std::uint64_t> PolicyService::versionOf(const std::string& request) const {
+  if (copy_.current() && copy_.current()->by == request) return copy_.current()->version;
+  for (const auto& [version, past] : copy_.past()) {
+    if (past.by == request) return version;
+  }
+  return std::nullopt;
+}
+
 // On the condition of the version that was read, and on the record's stamp: of two operators one is
 // told. The request's name tells a repetition from another's change.
 void PolicyService::set(const Json& body, const Respond& respond) {
@@ -104,7 +112,10 @@
     auto expected = countField(body, "if");
     const auto& now = copy_.current();
     Json done = {{"version", copy_.version()}};
-    if (now && now->by == request) return respond(jsonResponse(200, done));
+    // Also where another change has come since: a repetition must not take that one back.
+    if (auto version = versionOf(request)) {
+      return respond(jsonResponse(200, {{"version", *version}}));
+    }
     if (expected && *expected != copy_.version()) {
       done["error"] = "version " + std::to_string(copy_.version()) + " was first";
       return respond(jsonResponse(409, done));
@@ -124,14 +135,20 @@
       put(keys::kPolicyPast + std::to_string(now->version % PolicyCopy::kVersionsKept),
           toJson(*now));
     }
-    store_.commit(t, kCommitTimeout, [this, t, next, respond](CommitResult r) {
+    store_.commit(t, kCommitTimeout, [this, t, next, request, respond](CommitResult r) {
       switch (r.outcome) {
         case Outcome::applied:
           for (const auto& w : t.writes) replica_.apply({w.key, w.value, r.epoch});
           logInfo("policy set", "version", next.version);
           return respond(jsonResponse(200, {{"version", next.version}}));
         case Outcome::conflict:
-          return respond(jsonResponse(409, {{"error", "another change was first"}}));
+          // Possibly an earlier copy of this one, which nobody has heard of.
+          return feed_.fresh([this, request, respond](bool ok) {
+            if (!ok) return respond(retryLater(503));
+            auto version = versionOf(request);
+            respond(version ? jsonResponse(200, {{"version", *version}})
+                            : jsonResponse(409, {{"error", "another change was first"}}));
+          });
         default:
           return respond(retryLater(503));  // carried out or not: the same request again tells
       }
--- a/src/policy/service.hpp
+++ b/src/policy/service.hpp
@@ -28,6 +28,8 @@
   // What setting it would change now, in jobs.
   Json effectOf(const Policy& policy) const;
   void set(const Json& body, const Respond& respond);
+  // Which version this request has made, of those that are kept.
+  std::optional<std::uint64_t> versionOf(const std::string& request) const;
 
   Runtime& runtime_;
   StoreClient& store_;
