Scenarios: late, lost and repeated messages by writer, to the next leader, beside loads of many pages

An amendment in a world waits until its flow was accepted: nobody changes what he was not told of (409 to the first was taken for a refusal).

--- a/region/model/region.cpp
+++ b/region/model/region.cpp
@@ -37,6 +37,12 @@
   return it != hosts_.end() && it->second.goneAt < 0;
 }
 
+bool Region::listedAsFailed(const std::string& host, std::int64_t at) const {
+  auto worker = workers.find(host);
+  return settings.failedAfterS > 0 && worker != workers.end() && worker->second->gone &&
+         at - worker->second->goneAt > millis(settings.failedAfterS);
+}
+
 double Region::machineSeconds() const {
   double ms = 0;
   for (const auto& [name, h] : hosts_) {
@@ -45,6 +51,14 @@
   return ms / 1000.0;
 }
 
+std::vector<std::string> Region::rentedMachines() const {
+  std::vector<std::string> out;
+  for (const auto& [name, host] : hosts_) {
+    if (host.goneAt < 0) out.push_back(name);
+  }
+  return out;
+}
+
 void Region::setCapacity(bool spot, int perZone) {
   for (const auto& z : settings.zones) capacity_[{z, spot}] = perZone;
 }
@@ -80,12 +94,15 @@
       names.push_back(name);
       if (std::bernoulli_distribution(settings.bootFail)(random)) continue;
       double factor = 0.6 + 0.9 * std::uniform_real_distribution<>(0, 1)(random);
-      clock.in(millis(settings.bootS * factor), [this, host = std::string(name), zone, spot] {
-        if (hosts_[host].goneAt >= 0) return;
-        hosts_[host].phase = "running";
-        workers[host] = std::make_unique<Worker>(*this, host, zone, spot);
-        workers[host]->start();
-      });
+      bool soon = settings.soon > 0 && std::bernoulli_distribution(settings.soon)(random);
+      clock.in(
+          soon ? 200 + static_cast<std::int64_t>(random() % 1800) : millis(settings.bootS * factor),
+          [this, host = std::string(name), zone, spot] {
+            if (hosts_[host].goneAt >= 0) return;
+            hosts_[host].phase = "running";
+            workers[host] = std::make_unique<Worker>(*this, host, zone, spot);
+            workers[host]->start();
+          });
     }
     return jsonResponse(200, hires_[hire] = {{"hosts", names}});
   }
@@ -110,7 +127,7 @@
                       {"rig", "box"},
                       {"site", h.zone},
                       {"loaners", h.spot},
-                      {"phase", h.phase},
+                      {"phase", listedAsFailed(name, then) ? "failed" : h.phase},
                       {"age_s", static_cast<double>(then - h.rentedAt) / 1000.0}});
     }
     return jsonResponse(200, {{"hosts", list}, {"truncated", false}});
--- a/region/model/region.hpp
+++ b/region/model/region.hpp
@@ -21,6 +21,8 @@
   double reportS = 1, leaseS = 11;
   double listLagS = 3;
   double bootFail = 0;
+  double failedAfterS = 0;  // a machine that has died is listed as failed then; 0: never
+  double soon = 0;          // share of machines that are up within 0.2 to 2 s
 };
 
 // What one task takes; the rest is known to its TaskHost.
@@ -45,6 +47,7 @@
   // Hangs beyond its lease: its tasks end before it does anything else.
   bool leaseOver() const;
   bool gone = false;
+  std::int64_t goneAt = -1;
   std::string host, zone;
   bool spot;
 
@@ -116,6 +119,7 @@
   std::vector<std::string> machinesWithTasks() const;
   std::size_t machineCount(bool spot) const;
   bool isRented(const std::string& host) const;
+  std::vector<std::string> rentedMachines() const;
   void setCapacity(bool spot, int perZone);
   // Rented so far, all machines together.
   double machineSeconds() const;
@@ -140,6 +144,7 @@
     std::string phase = "booting";
     std::int64_t goneAt = -1;
   };
+  bool listedAsFailed(const std::string& host, std::int64_t at) const;
   std::map<std::string, Host> hosts_;
   std::map<std::string, Json> hires_;
   std::map<std::pair<std::string, bool>, int> capacity_;
--- a/region/model/state_service.cpp
+++ b/region/model/state_service.cpp
@@ -142,15 +142,27 @@
   return out;
 }
 
+const Json* StateService::valueOf(const std::string& key) const {
+  auto it = data_.find(key);
+  return it == data_.end() ? nullptr : &it->second.data;
+}
+
+void StateService::put(const std::string& key, Json value) {
+  ++epoch_;
+  log_.push_back({key, value, epoch_});
+  std::size_t bytes = value.dump().size();
+  data_[key] = {std::move(value), epoch_, 0, bytes};
+}
+
 Response StateService::list(const std::map<std::string, std::string>& query) {
   const auto& prefix = query.at("prefix");
   std::size_t page = std::stoul(query.at("page"));
   auto since = query.find("since");
   Json rows = Json::array();
   bool more = false;
-  // At most 1,000 rows and 512 KiB.
-  constexpr std::size_t kMostRows = 1000, kMostBytes = 512 * 1024;
-  page = std::min(page, kMostRows);
+  // At most 1,000 rows (fewer where a scenario says so) and 512 KiB.
+  constexpr std::size_t kMostBytes = 512 * 1024;
+  page = std::min(page, mostRows);
   std::size_t bytes = 0;
   auto from = since == query.end() ? data_.lower_bound(prefix) : data_.upper_bound(since->second);
   for (; from != data_.end(); ++from) {
--- a/region/model/state_service.hpp
+++ b/region/model/state_service.hpp
@@ -15,6 +15,7 @@
   void refuse(const std::string& host, std::int64_t ms) { refused_[host] = clock_.now() + ms; }
   std::size_t transactionOps = 8;
   std::size_t valueBytes = 8192;
+  std::size_t mostRows = 1000;   // of one page
   std::size_t changes_made = 0;  // puts and deletes, failed transactions' included
   std::size_t reads_made = 0;
   std::size_t bytes_written = 0;  // of values, in text form
@@ -24,6 +25,10 @@
   std::function<void(const std::string& host)> onLease;
   // Keys with this prefix, for checkers.
   std::vector<std::string> keysBelow(const std::string& prefix) const;
+  // Null: there is no such key.
+  const Json* valueOf(const std::string& key) const;
+  // What was there before the world began.
+  void put(const std::string& key, Json value);
 
  private:
   struct Entry {
--- a/region/model/worker.cpp
+++ b/region/model/worker.cpp
@@ -40,6 +40,7 @@
 
 void Worker::die() {
   gone = true;
+  goneAt = region_.clock.now();
   for (const auto& t : tasks) region_.taskHost.end(*this, t);
   tasks.clear();
   region_.wire.silence(host);
--- a/tests/scenario_expect.hpp
+++ b/tests/scenario_expect.hpp
@@ -1,11 +1,11 @@
 // What a scenario expects of a world, and the made-up flows of its lines.
 #pragma once
 
-#include "scenario_meetings.hpp"
+#include "meetings_writes.hpp"
 
 namespace kestrelhoist::sim {
 
-class ScenarioExpect : public ScenarioMeetings {
+class ScenarioExpect : public ScenarioWrites {
  protected:
   void expect(const Line& line) {
     World& w = *world_;
@@ -15,6 +15,11 @@
       EXPECT_EQ(w.phaseOf(words.at(2)), words.at(3));
     } else if (what == "replicas") {
       EXPECT_EQ(w.runningReplicas(words.at(2)), std::stoi(words.at(3)));
+    } else if (what == "versions") {  // expect versions N: so often the policy was changed
+      ASSERT_NE(w.policy(), nullptr);
+      EXPECT_EQ(w.policy()->version(), std::stoul(words.at(2)));
+    } else if (what == "books") {  // expect books: see ScenarioWrites::expectBooks
+      expectBooks();
     } else if (what == "fewest") {  // expect fewest ID N: replicas at any moment since `watch`
       EXPECT_GE(w.fewest(words.at(2)), std::stoi(words.at(3)));
     } else if (what == "leaderships") {  // expect leaderships most N: begun since `watch`
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -131,6 +131,7 @@
       gap(std::stoi(words.at(1)));
     } else if (verb == "meet") {  // meet WHAT SECONDS: see ScenarioMeetings::meet
       meet(words.at(1), ms(words.at(2)));
+    } else if (writesVerb(words)) {  // late_writes of a writer, late_reports, late_commands, crowd
     } else if (verb == "late_writes") {  // late_writes SHARE SECONDS: carried out 2 to 12 s later
       w.network.lateWrites = std::stod(words.at(1));
       w.clock.in(ms(words.at(2)), [&w] { w.network.lateWrites = 0; });
--- a/tests/scenario_troubles.hpp
+++ b/tests/scenario_troubles.hpp
@@ -33,19 +33,47 @@
 // What is wrong with a line, if anything: numbers that are none, or that can't be. In words at
 // these places, counted from the verb.
 inline std::string wrongNumber(const Line& line) {
-  static const std::map<std::string, std::vector<int>> kPlaces{
-      {"seeds", {1, 2}},       {"run", {1}},        {"chaos", {1}},      {"cut", {5}},
-      {"link", {5}},           {"flap", {5, 6, 7}}, {"freeze", {2}},     {"trouble", {3}},
-      {"cutzone", {3}},        {"cutmachine", {3}}, {"outage", {2}},     {"refuse", {2}},
-      {"hang", {2}},           {"faulty", {2}},     {"polls", {1, 2}},   {"notice", {2}},
-      {"lose", {2}},           {"capacity", {2}},   {"crash", {2}},      {"crashes", {2, 3, 4}},
-      {"copies", {1, 2, 3}},   {"beside", {2}},     {"dieshare", {1}},   {"alone", {3}},
-      {"deafzone", {3}},       {"stream", {3, 5}},  {"catch", {4}},      {"gap", {1}},
-      {"late_writes", {1, 2}}, {"slow", {2, 3}},    {"held", {1, 2, 3}}, {"meet", {2}}};
+  static const std::map<std::string, std::vector<int>> kPlaces{{"seeds", {1, 2}},
+                                                               {"run", {1}},
+                                                               {"chaos", {1}},
+                                                               {"cut", {5}},
+                                                               {"link", {5}},
+                                                               {"flap", {5, 6, 7}},
+                                                               {"freeze", {2}},
+                                                               {"trouble", {3}},
+                                                               {"cutzone", {3}},
+                                                               {"cutmachine", {3}},
+                                                               {"outage", {2}},
+                                                               {"refuse", {2}},
+                                                               {"hang", {2}},
+                                                               {"faulty", {2}},
+                                                               {"polls", {1, 2}},
+                                                               {"notice", {2}},
+                                                               {"lose", {2}},
+                                                               {"capacity", {2}},
+                                                               {"crash", {2}},
+                                                               {"crashes", {2, 3, 4}},
+                                                               {"copies", {1, 2, 3}},
+                                                               {"beside", {2}},
+                                                               {"dieshare", {1}},
+                                                               {"alone", {3}},
+                                                               {"deafzone", {3}},
+                                                               {"stream", {3, 5}},
+                                                               {"catch", {4}},
+                                                               {"gap", {1}},
+                                                               {"late_writes", {1, 2}},
+                                                               {"slow", {2, 3}},
+                                                               {"held", {1, 2, 3}},
+                                                               {"meet", {2}},
+                                                               {"late_reports", {1, 2}},
+                                                               {"late_commands", {1, 2}},
+                                                               {"crowd", {1}},
+                                                               {"aborts", {2, 4, 6}}};
   static const std::set<std::string> kOptions{
-      "nodes",  "ordinary", "spot",     "boot",   "bootfail", "gpusmax", "report",    "lease",
-      "cancel", "pace",     "balancer", "writes", "fetch",    "valuekb", "ops",       "flows",
-      "tasks",  "gpus",     "cpus",     "wrong",  "ram",      "run",     "checkpoint"};
+      "nodes", "ordinary", "spot", "boot",     "bootfail",  "gpusmax", "report",
+      "lease", "cancel",   "pace", "balancer", "writes",    "fetch",   "valuekb",
+      "ops",   "flows",    "soon", "failed",   "pagerows",  "tasks",   "gpus",
+      "cpus",  "wrong",    "ram",  "run",      "checkpoint"};
   static const std::set<std::string> kWords{"phase", "leader", "flow",     "underserved",
                                             "gone",  "waits",  "answered", "unanswered",
                                             "storm", "periods"};
@@ -100,6 +128,12 @@
         settings_.bootS = v;
       else if (key == "bootfail")
         settings_.bootFail = v;
+      else if (key == "soon")  // share of machines that are up within 0.2 to 2 s
+        settings_.soon = v;
+      else if (key == "failed")  // seconds until a machine that has died is listed so
+        settings_.failedAfterS = v;
+      else if (key == "pagerows")  // of the state service
+        settings_.pageRows = static_cast<std::size_t>(v);
       else if (key == "gpusmax")
         settings_.gpusMax = v;
       else if (key == "fetch")  // seconds until a machine has an image
--- a/tests/sim/virtual_time.hpp
+++ b/tests/sim/virtual_time.hpp
@@ -85,8 +85,28 @@
   // This share of direct commands, and of answers to them and to reports, is held up for so long
   // (ms).
   Copies held;
+  // What becomes of a request besides: held up for so long (ms), and nobody hears its answer.
+  struct Fate {
+    std::int64_t laterMs = 0;
+    bool unanswered = false;
+  };
+  std::function<Fate(const std::string& from, const Request& request)> fateOf;
+  // Each request as it is sent, and with the answer that it was given.
+  std::function<void(const std::string& from, const Request& request)> onSent;
+  std::function<void(const Request& request, const Response& answer)> onAnswered;
   std::int64_t slowState = 0;  // longer until an answer of the state service comes (ms)
 
+  // A copy of a request comes there; nobody hears its answer.
+  void deliver(const std::string& from, const std::string& address, const Request& request,
+               std::int64_t laterMs) {
+    std::string to = address.substr(0, address.find(':'));
+    travel(from, to, laterMs + latency(), [this, from, address, request](bool reset) {
+      auto server = servers_.find(address);
+      if (reset || server == servers_.end()) return;
+      server->second(from, request, [](const Response&) {});
+    });
+  }
+
   void send(const std::string& from, const std::string& address, Request request,
             std::int64_t timeout, OnReply done) override {
     auto answered = std::make_shared<bool>(false);
@@ -115,6 +135,10 @@
     bool command = request.path == "/commands";
     bool late = request.path == "/commit" && chance(lateWrites);
     if (late) delay += std::uniform_int_distribution<std::int64_t>(2000, 12000)(random_);
+    if (onSent) onSent(from, request);
+    Fate fate = fateOf ? fateOf(from, request) : Fate{};
+    delay += fate.laterMs;
+    late = late || fate.unanswered;
     if (command && chance(held.share)) delay += heldFor();
     std::int64_t back = 0;
     if ((command || request.path == "/agent/beat") && chance(held.share)) back = heldFor();
@@ -126,7 +150,8 @@
              if (server == servers_.end()) return finish(std::nullopt);
              bool lost = chance(lossOfAnswers) || late;
              server->second(from, request,
-                            [this, from, to, finish, lost, back, &sum](const Response& r) {
+                            [this, from, to, request, finish, lost, back, &sum](const Response& r) {
+                              if (onAnswered) onAnswered(request, r);
                               if (lost) return;
                               sum.bytes += r.body.size();
                               travel(to, from, back + latency(), [finish, r](bool reset) {
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -33,6 +33,7 @@
       random(s.seed),
       network(clock, random),
       region(regionSettings(), clock, network, random, *this) {
+  if (settings.pageRows > 0) state.mostRows = settings.pageRows;
   state.valueBytes = static_cast<std::size_t>(settings.valueKb) * 1024;
   state.transactionOps = static_cast<std::size_t>(settings.txnOps);
   state.onCommit = [this](const Json& writes) {
@@ -271,6 +272,8 @@
   r.leaseS = settings.leaseS;
   r.listLagS = settings.listLagS;
   r.bootFail = settings.bootFail;
+  r.soon = settings.soon;
+  r.failedAfterS = settings.failedAfterS;
   return r;
 }
 
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -24,6 +24,9 @@
   double listLagS = 3;
   double gpusMax = 0;  // the team's limit
   double bootFail = 0;
+  double failedAfterS = 0;   // a machine that has died is listed as failed then; 0: never
+  double soon = 0;           // share of machines that are up within 0.2 to 2 s
+  std::size_t pageRows = 0;  // most rows of a page of the state service; 0: as PROTOCOL says
   std::uint64_t seed = 1;
   double writesPerS = 25;
   int valueKb = 8, txnOps = 8;
@@ -64,6 +67,8 @@
   void submit(const JobPlan& job);
   // A job that a member submits under this name of the service's: what its tasks are.
   void expectJob(const JobPlan& job) { users_[job.id].plan = job; }
+  // A rule of a scenario's own is broken.
+  void breaks(const std::string& rule, const std::string& what) { fail(rule, what); }
   void abort(const std::string& id);
   // The same, asking this controller first.
   void abortThrough(const std::string& id, int node);
--- a/tests/sim/world_flows.cpp
+++ b/tests/sim/world_flows.cpp
@@ -77,6 +77,8 @@
 
 void World::amendFlow(const FlowPlanSpec& spec) {
   UserFlow& f = flows_[spec.id];
+  // Nobody changes what he has not been told is accepted.
+  if (f.sending && f.version == 0) return clock.in(500, [this, spec] { amendFlow(spec); });
   f.spec = spec;
   f.order.keepGoing = spec.keep;
   sendFlow(spec.id, std::max<std::uint64_t>(1, f.version));
