--- a/tests/scenario_expect.hpp
+++ b/tests/scenario_expect.hpp
@@ -15,6 +15,11 @@
       EXPECT_EQ(w.phaseOf(words.at(2)), words.at(3));
     } else if (what == "replicas") {
       EXPECT_EQ(w.runningReplicas(words.at(2)), std::stoi(words.at(3)));
+    } else if (what == "versions") {  // expect versions N: so often the policy was changed
+      ASSERT_NE(w.policy(), nullptr);
+      EXPECT_EQ(w.policy()->version(), std::stoul(words.at(2)));
+    } else if (what == "books") {  // expect books: see ScenarioWrites::expectBooks
+      expectBooks();
     } else if (what == "fewest") {  // expect fewest ID N: replicas at any moment since `watch`
       EXPECT_GE(w.fewest(words.at(2)), std::stoi(words.at(3)));
     } else if (what == "leaderships") {  // expect leaderships most N: begun since `watch`
--- a/tests/scenario_pipelines.hpp
+++ b/tests/scenario_pipelines.hpp
@@ -2,11 +2,11 @@
 // is expected of them.
 #pragma once
 
-#include "scenario_meetings.hpp"
+#include "meetings_writes.hpp"
 
 namespace kestrelhoist::sim {
 
-class ScenarioPipelines : public ScenarioMeetings {
+class ScenarioPipelines : public ScenarioWrites {
  protected:
   bool pipelineOption(JobPlan& job, const std::string& key, const std::string& value) override {
     if (key == "awaits") {  // j-1,j-2 or j-1..j-100
