An own abort that was not read back: no attempt is begun anew

Cause: a controller that answers a report in the leader's stead sends launch and stop of each attempt on its records whose job is over, so that a held launch does nothing. Behind a cancellation of its own that it has not read back, its records may lack a placement from before it: they show an attempt that the worker has cleared, while its successor runs on another machine. Only the stop beside the launch kept it from starting (docs/safety.md, "Cancellation" 5). Change: `leaseOnlyOrders` is told whether the job's end was read back (`JobEnd`); only then is the attempt made known. Until then nobody can have been told before the records were read, so the bound of the lease holds without it; tasks that are reported are stopped as before. Tests: `LeaseOnly.AnswerLaunchesNothingOfAnEndThatWasNotReadBack`; verb `own_abort`, scenario `users-own-abort`, and a rule for every world, `older_attempt`. Also: the verbs `close_looks`, `cancel_at_end`, `odd_requests`, `singles_cancelled`, `alongside`, `agree` (tests/meetings_users.hpp, user_looks.hpp), whose scenarios follow; the state service's stand-in can refuse changes above its rate.

--- a/region/model/state_service.cpp
+++ b/region/model/state_service.cpp
@@ -1,5 +1,7 @@
 #include "region/model/state_service.hpp"
 
+#include <algorithm>
+
 namespace kestrelhoist::region {
 namespace {
 
@@ -95,9 +97,24 @@
   return jsonResponse(400, Json::object());
 }
 
+bool StateService::withinRate(double writes) {
+  if (writesPerS <= 0) return true;
+  auto now = clock_.now();
+  double more = roomAt_ < 0 ? writesPerS : static_cast<double>(now - roomAt_) / 1000 * writesPerS;
+  room_ = std::min(writesPerS, room_ + more);
+  roomAt_ = now;
+  if (writes > room_) return false;
+  room_ -= writes;
+  return true;
+}
+
 Response StateService::commit(const Json& body) {
   const Json& when = body.at("when");
   const Json& writes = body.at("writes");
+  if (!withinRate(static_cast<double>(writes.size()))) {
+    changesRefused += writes.size();
+    return jsonResponse(429, {{"error", "too many changes"}});
+  }
   changes_made += writes.size();
   if (writes.size() > transactionOps || when.size() > 4 * transactionOps ||
       body.dump().size() > 64 * 1024) {
--- a/region/model/state_service.hpp
+++ b/region/model/state_service.hpp
@@ -15,7 +15,11 @@
   void refuse(const std::string& host, std::int64_t ms) { refused_[host] = clock_.now() + ms; }
   std::size_t transactionOps = 8;
   std::size_t valueBytes = 8192;
-  std::size_t changes_made = 0;  // puts and deletes, failed transactions' included
+  // Puts and deletes that it takes, failed transactions' included, with a second's worth at once;
+  // 0: any number.
+  double writesPerS = 0;
+  std::size_t changesRefused = 0;  // above that rate
+  std::size_t changes_made = 0;    // puts and deletes, failed transactions' included
   std::size_t reads_made = 0;
   std::size_t bytes_written = 0;  // of values, in text form
   // After a transaction was carried out, before its answer is sent.
@@ -45,6 +49,7 @@
   Response commit(const Json& body);
   Response list(const std::map<std::string, std::string>& query);
   Response changes(const std::map<std::string, std::string>& query);
+  bool withinRate(double writes);
   void expire();
   void drop(const std::string& key);
 
@@ -54,6 +59,8 @@
   std::vector<Change> log_;
   std::uint64_t epoch_ = 0, nextLease_ = 1;
   std::int64_t outageUntil_ = 0;
+  double room_ = 0;  // for changes, of a second's worth
+  std::int64_t roomAt_ = -1;
   std::map<std::string, std::int64_t> refused_;
 };
 
--- a/src/app/controller_links.cpp
+++ b/src/app/controller_links.cpp
@@ -87,13 +87,14 @@
 // are known to be over are stopped, those included that it may still be told to launch: whoever
 // keeps leases up must not keep up what was cancelled.
 Response Controller::leaseOnlyAnswer(const Report& report) const {
-  auto over = [this](const JobId& id) {
+  auto end = [this](const JobId& id) {
     const auto* job = replica_.job(id);
-    return job && !job->active();
+    if (!job || job->active()) return JobEnd::none;
+    return job->stamp <= replica_.cursor() ? JobEnd::known : JobEnd::notReadBack;
   };
   return jsonResponse(
       200,
-      ordersToJson(lastToken_, leaseOnlyOrders(report, replica_.machine(report.machine), over)));
+      ordersToJson(lastToken_, leaseOnlyOrders(report, replica_.machine(report.machine), end)));
 }
 
 Response Controller::sendAway(const Report& report, const std::optional<MemberId>& to) {
--- a/src/fleet/reconcile.cpp
+++ b/src/fleet/reconcile.cpp
@@ -119,20 +119,23 @@
 }
 
 std::vector<Order> leaseOnlyOrders(const Report& report, const MachineState* record,
-                                   const std::function<bool(const JobId&)>& over) {
+                                   const std::function<JobEnd(const JobId&)>& end) {
   std::vector<Order> orders;
   for (const auto& task : report.tasks) {
     if (orders.size() == kMaxOrders) return orders;
-    if (task.state != TaskState::ended && over(task.id.task.job)) {
+    if (task.state != TaskState::ended && end(task.id.task.job) != JobEnd::none) {
       orders.push_back({Order::Kind::stop, task.id, Duration{0}});
     }
   }
   // A direct launch that the leader has no answer to may arrive minutes later, under a token that
   // stays the newest for as long as there is no other leader, and this answer keeps the session up
   // to which it belongs. Nothing of a job that is over is ever placed again, so wherever its task
-  // may be, this attempt is the only one.
+  // may be, this attempt is the only one. Not so while the end is not read back: the attempt may
+  // have been cleared here and its successor run elsewhere, and the launch would begin it anew.
+  // Then nobody was told of the end before these records were read, and the bound of the lease is
+  // enough.
   for (const auto& on : record ? record->tasks : std::vector<TaskOn>{}) {
-    if (on.tenure == report.tenure && !report.find(on.id) && over(on.id.task.job)) {
+    if (on.tenure == report.tenure && !report.find(on.id) && end(on.id.task.job) == JobEnd::known) {
       addSettled(orders, on.id);
     }
   }
--- a/src/fleet/reconcile.hpp
+++ b/src/fleet/reconcile.hpp
@@ -48,9 +48,13 @@
 std::vector<Order> reconcile(MachineMemory& memory, const MachineState* record, Token token,
                              bool mayLaunch, const std::function<Wish(const AttemptId&)>& wish);
 
+// Whether a job is over by a controller's records, and whether these are complete up to its end:
+// behind a commit of its own that was not read back, placements from before it may be missing.
+enum class JobEnd { none, notReadBack, known };
+
 // Orders for a worker whose lease a controller renews in the leader's stead: none but stops of jobs
 // that are over by its records. `record`: as that controller's copy has it.
 std::vector<Order> leaseOnlyOrders(const Report& report, const MachineState* record,
-                                   const std::function<bool(const JobId&)>& over);
+                                   const std::function<JobEnd(const JobId&)>& end);
 
 }  // namespace kestrelhoist
--- a/src/fleet/reconcile_test.cpp
+++ b/src/fleet/reconcile_test.cpp
@@ -182,29 +182,37 @@
 
 struct LeaseOnly : Fixture {
   Report r = report(2, 1, 5);
-  std::vector<Order> answer(bool over) {
-    return leaseOnlyOrders(r, &record, [&](const JobId&) { return over; });
+  std::vector<Order> answer(JobEnd end) {
+    return leaseOnlyOrders(r, &record, [&](const JobId&) { return end; });
   }
 };
 
 TEST_F(LeaseOnly, AnswerStopsWhatIsOverAndNothingElse) {
   r.tasks = {{kTask, TaskState::running}, {{{JobId{"j-000009"}, 0}, Attempt{1}}, TaskState::ended}};
-  EXPECT_TRUE(answer(false).empty());
-  auto orders = answer(true);
-  ASSERT_EQ(orders.size(), 1U);
-  EXPECT_EQ(orders[0].kind, Order::Kind::stop);
-  EXPECT_EQ(orders[0].id, kTask);
+  EXPECT_TRUE(answer(JobEnd::none).empty());
+  for (JobEnd end : {JobEnd::known, JobEnd::notReadBack}) {
+    auto orders = answer(end);
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders[0].kind, Order::Kind::stop);
+    EXPECT_EQ(orders[0].id, kTask);
+  }
 }
 
 // The leader's direct launch may still be under way, and this answer keeps its session up.
 TEST_F(LeaseOnly, AnswerMakesAHeldLaunchOfWhatIsOverHarmless) {
-  EXPECT_TRUE(answer(false).empty());
-  auto orders = answer(true);
+  EXPECT_TRUE(answer(JobEnd::none).empty());
+  auto orders = answer(JobEnd::known);
   ASSERT_EQ(orders.size(), 2U);
   EXPECT_EQ(orders[0].kind, Order::Kind::launch);
   EXPECT_EQ(orders[1].kind, Order::Kind::stop);
   r = report(3, 1, 5);  // of another session: the launch is refused there
-  EXPECT_TRUE(answer(true).empty());
+  EXPECT_TRUE(answer(JobEnd::known).empty());
+}
+
+// The attempt that these records show may have been cleared on this machine, and its successor may
+// run on another: a launch would begin it anew (`users-own-abort`).
+TEST_F(LeaseOnly, AnswerLaunchesNothingOfAnEndThatWasNotReadBack) {
+  EXPECT_TRUE(answer(JobEnd::notReadBack).empty());
 }
 
 }  // namespace
--- a/tests/scenario_expect.hpp
+++ b/tests/scenario_expect.hpp
@@ -1,11 +1,11 @@
 // What a scenario expects of a world, and the made-up flows of its lines.
 #pragma once
 
-#include "scenario_meetings.hpp"
+#include "meetings_users.hpp"
 
 namespace kestrelhoist::sim {
 
-class ScenarioExpect : public ScenarioMeetings {
+class ScenarioExpect : public ScenarioUsers {
  protected:
   void expect(const Line& line) {
     World& w = *world_;
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -127,6 +127,8 @@
       w.crashAtFlowCommit = w.flowCommits + n;
     } else if (verb == "abort") {  // abort ID [through NODE]: asks this one first
       w.abortThrough(words.at(1), words.size() > 3 ? nodeOf(words.at(3)) : -1);
+    } else if (meetsUsers(words)) {  // verbs of ScenarioUsers
+      return;
     } else if (verb == "gap") {  // gap TIMES: see ScenarioMeetings::gap
       gap(std::stoi(words.at(1)));
     } else if (verb == "meet") {  // meet WHAT SECONDS: see ScenarioMeetings::meet
--- a/tests/scenario_troubles.hpp
+++ b/tests/scenario_troubles.hpp
@@ -34,14 +34,25 @@
 // these places, counted from the verb.
 inline std::string wrongNumber(const Line& line) {
   static const std::map<std::string, std::vector<int>> kPlaces{
-      {"seeds", {1, 2}},       {"run", {1}},        {"chaos", {1}},      {"cut", {5}},
-      {"link", {5}},           {"flap", {5, 6, 7}}, {"freeze", {2}},     {"trouble", {3}},
-      {"cutzone", {3}},        {"cutmachine", {3}}, {"outage", {2}},     {"refuse", {2}},
-      {"hang", {2}},           {"faulty", {2}},     {"polls", {1, 2}},   {"notice", {2}},
-      {"lose", {2}},           {"capacity", {2}},   {"crash", {2}},      {"crashes", {2, 3, 4}},
-      {"copies", {1, 2, 3}},   {"beside", {2}},     {"dieshare", {1}},   {"alone", {3}},
-      {"deafzone", {3}},       {"stream", {3, 5}},  {"catch", {4}},      {"gap", {1}},
-      {"late_writes", {1, 2}}, {"slow", {2, 3}},    {"held", {1, 2, 3}}, {"meet", {2}}};
+      {"seeds", {1, 2}},       {"run", {1}},
+      {"chaos", {1}},          {"cut", {5}},
+      {"link", {5}},           {"flap", {5, 6, 7}},
+      {"freeze", {2}},         {"trouble", {3}},
+      {"cutzone", {3}},        {"cutmachine", {3}},
+      {"outage", {2}},         {"refuse", {2}},
+      {"hang", {2}},           {"faulty", {2}},
+      {"polls", {1, 2}},       {"notice", {2}},
+      {"lose", {2}},           {"capacity", {2}},
+      {"crash", {2}},          {"crashes", {2, 3, 4}},
+      {"copies", {1, 2, 3}},   {"beside", {2}},
+      {"dieshare", {1}},       {"alone", {3}},
+      {"deafzone", {3}},       {"stream", {3, 5}},
+      {"catch", {4}},          {"gap", {1}},
+      {"late_writes", {1, 2}}, {"slow", {2, 3}},
+      {"held", {1, 2, 3}},     {"meet", {2}},
+      {"close_looks", {1}},    {"cancel_at_end", {1, 2}},
+      {"odd_requests", {1}},   {"alongside", {2}},
+      {"own_abort", {1}},      {"singles_cancelled", {1}}};
   static const std::set<std::string> kOptions{
       "nodes",  "ordinary", "spot",     "boot",   "bootfail", "gpusmax", "report",    "lease",
       "cancel", "pace",     "balancer", "writes", "fetch",    "valuekb", "ops",       "flows",
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -36,6 +36,7 @@
   state.valueBytes = static_cast<std::size_t>(settings.valueKb) * 1024;
   state.transactionOps = static_cast<std::size_t>(settings.txnOps);
   state.onCommit = [this](const Json& writes) {
+    notePlaced(writes);
     for (const auto& write : writes) {
       auto key = write.contains("set") ? write["set"].get<std::string>()
                                        : write["drop"].get<std::string>();
@@ -276,8 +277,39 @@
 
 // ---- tasks ----
 
+// Attempts that a transaction has on record: rows of machine, session, attempt and runs of tasks.
+void World::notePlaced(const Json& writes) {
+  const std::string prefix = "kh/tasks/";
+  for (const auto& write : writes) {
+    auto key = write.value("set", std::string());
+    if (!key.starts_with(prefix)) continue;
+    std::string job = key.substr(prefix.size(), key.rfind('/') - prefix.size());
+    for (const auto& row : write["data"].at("on")) {
+      auto attempt = row.at(2).get<std::uint64_t>();
+      for (std::size_t i = 3; i + 1 < row.size(); i += 2) {
+        int first = row.at(i).get<int>(), count = row.at(i + 1).get<int>();
+        for (int index = first; index < first + count; ++index) {
+          auto& newest = newestTry_[{job, index}];
+          newest = std::max(newest, attempt);
+        }
+      }
+    }
+  }
+}
+
+std::uint64_t World::newestTry(const std::string& job, int index) const {
+  auto it = newestTry_.find({job, index});
+  return it == newestTry_.end() ? 0 : it->second;
+}
+
 void World::describe(Worker& worker, const Worker::Task& task,
                      std::function<void(std::optional<region::TaskNeeds>)> done) {
+  // A later attempt is placed only when the earlier one is proven gone: whoever makes a worker take
+  // that up again relies on a stop that comes in time.
+  if (task.attempt < newestTry(task.job, task.index)) {
+    fail("older_attempt", task.job + "/" + std::to_string(task.index) + " try " +
+                              std::to_string(task.attempt) + " on " + worker.host);
+  }
   if (task.job.starts_with("f-")) return fetchFlowTask(worker, task, 8, std::move(done));
   const JobPlan* p = plan(task.job);
   if (!p || task.index >= p->tasks) return done(std::nullopt);
@@ -309,6 +341,7 @@
       Worker::Task* t = worker.byLife(life);
       if (worker.gone || !t || t->state != "running") return;
       results.insert(key);
+      if (onResult) onResult(key.first);
       worker.exited(life, "done");
     });
   });
@@ -377,6 +410,7 @@
                  if (!j.accepted) {
                    j.accepted = true;
                    j.acceptedAt = clock.now();
+                   if (onTold) onTold(id, "accepted");
                    poll(id);
                    // A retry may come at any later time.
                    clock.in(20000 + static_cast<std::int64_t>(random() % 60000),
@@ -448,12 +482,12 @@
       if (!results.contains({id, i})) fail("not_done", id + "/" + std::to_string(i));
     }
     if (j.told.empty()) j.toldAt = j.doneAt = clock.now();
-    j.told = *phase;
+    if (std::exchange(j.told, *phase).empty() && onTold) onTold(id, *phase);
   } else if (*phase == "withdrawn") {
     if (!j.abortAsked) fail("went_back", id + " cancelled although nobody asked");
     if (j.cancelledToldAt < 0) j.cancelledToldAt = clock.now();
     if (j.told.empty()) j.toldAt = clock.now();
-    j.told = *phase;
+    if (std::exchange(j.told, *phase).empty() && onTold) onTold(id, *phase);
   }
 }
 
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -69,6 +69,22 @@
   void abortThrough(const std::string& id, int node);
   // The longest that a task of a cancelled job was on a machine after its user had been told, s.
   double goneBy() const { return static_cast<double>(goneByMs_) / 1000.0; }
+  // What a user of a test's own hears counts like what the world's users hear; so does its wish to
+  // cancel. `askedAt`: when it asked.
+  void note(const std::string& id, const Response& r, std::int64_t askedAt);
+  void askedToCancel(const std::string& id) { users_[id].abortAsked = true; }
+  bool isAccepted(const std::string& id) const {
+    auto it = users_.find(id);
+    return it != users_.end() && it->second.accepted;
+  }
+  void fail(const std::string& rule, const std::string& what);
+  Json spec(const JobPlan& p) const;
+  // A user was told for the first time that a job is accepted, done or withdrawn.
+  std::function<void(const std::string& id, const std::string& what)> onTold;
+  // A task has completed on its machine.
+  std::function<void(const std::string& id)> onResult;
+  // Of the task's attempts, the newest that was ever placed; 0: none.
+  std::uint64_t newestTry(const std::string& job, int index) const;
   // From now on every task ends in error on this machine after `s`.
   void makeFaulty(const std::string& host, double s) { faulty_[host] = s; }
   // The mistake is gone.
@@ -200,9 +216,7 @@
   void toNode(int node, Request q, std::int64_t timeout, OnReply done) {
     network.send("users", nodeApi(node), std::move(q), timeout, std::move(done));
   }
-  void note(const std::string& id, const Response& r, std::int64_t askedAt);
-  void fail(const std::string& rule, const std::string& what);
-  Json spec(const JobPlan& p) const;
+  void notePlaced(const Json& writes);
 
   void watchService();
   std::set<std::string> largest(const std::string& jobClass) const;
@@ -212,6 +226,7 @@
   std::map<std::string, double> faulty_;  // by host
   std::vector<Node> nodes_;
   std::map<std::string, UserJob> users_;
+  std::map<std::pair<std::string, int>, std::uint64_t> newestTry_;  // placed, by task
 
   // One user's flow: its versions as handed over, and what its files are by now.
   struct UserFlow {
