--- a/tests/scenario_pipelines.hpp
+++ b/tests/scenario_pipelines.hpp
@@ -2,11 +2,11 @@
 // is expected of them.
 #pragma once
 
-#include "meetings_writes.hpp"
+#include "meetings_users.hpp"
 
 namespace kestrelhoist::sim {
 
-class ScenarioPipelines : public ScenarioWrites {
+class ScenarioPipelines : public ScenarioUsers {
  protected:
   bool pipelineOption(JobPlan& job, const std::string& key, const std::string& value) override {
     if (key == "awaits") {  // j-1,j-2 or j-1..j-100
--- a/tests/scenario_troubles.hpp
+++ b/tests/scenario_troubles.hpp
@@ -70,7 +70,13 @@
                                                                {"late_reports", {1, 2}},
                                                                {"late_commands", {1, 2}},
                                                                {"crowd", {1}},
-                                                               {"aborts", {2, 4, 6}}};
+                                                               {"aborts", {2, 4, 6}},
+                                                               {"close_looks", {1}},
+                                                               {"cancel_at_end", {1, 2}},
+                                                               {"odd_requests", {1}},
+                                                               {"alongside", {2}},
+                                                               {"own_abort", {1}},
+                                                               {"singles_cancelled", {1}}};
   static const std::set<std::string> kOptions{
       "nodes", "ordinary",   "spot",  "boot",     "bootfail", "gpusmax", "report",
       "lease", "cancel",     "pace",  "balancer", "writes",   "fetch",   "valuekb",
