Tests: nobody waits beside room; cancellations while limits, cuts and leaders change

Cause: no world looked at whether a job waits on while a machine that fits has room, and none cancelled running jobs at their limit, in a handover, or while workers can't open connections.

--- a/region/model/region.hpp
+++ b/region/model/region.hpp
@@ -44,6 +44,8 @@
   void notice(std::int64_t ms);
   // Hangs beyond its lease: its tasks end before it does anything else.
   bool leaseOver() const;
+  // Neither hangs nor is about to be taken.
+  bool takesWork() const { return !gone && !frozen() && noticeEnds_ == 0; }
   bool gone = false;
   std::string host, zone;
   bool spot;
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -38,6 +38,7 @@
     World& w = *world_;
     const auto& words = line.words;
     const std::string& verb = words[0];
+    if (machinesStep(line)) return;
     auto ms = [](const std::string& s) { return static_cast<std::int64_t>(std::stod(s) * 1000); };
     if (verb == "submit") {
       w.submit(jobFrom(words.at(1), options(line, 2)));
--- a/tests/sim/virtual_time.hpp
+++ b/tests/sim/virtual_time.hpp
@@ -61,6 +61,11 @@
            std::int64_t ms, CutWay way = CutWay::both) {
     cuts_.push_back({host, others, {}, mode, clock_.now() + ms, way});
   }
+  // This host opens no connections to controllers for `ms`: refused or without any answer. What
+  // others send it arrives, and so do its answers.
+  void mute(const std::string& host, bool refused, std::int64_t ms) {
+    mutes_[host] = {clock_.now() + ms, refused};
+  }
   // Between these hosts and all others.
   void cutOff(const std::set<std::string>& inside, CutMode mode, std::int64_t ms) {
     cuts_.push_back({"", {}, inside, mode, clock_.now() + ms, CutWay::both});
@@ -96,6 +101,10 @@
       done(std::move(r));
     };
     clock_.in(timeout, [finish] { finish(std::nullopt); });
+    if (auto mute = mutes_.find(from); mute != mutes_.end() && clock_.now() < mute->second.until) {
+      if (mute->second.refused) clock_.in(latency(), [finish] { finish(std::nullopt); });
+      return;
+    }
     std::string to = address.substr(0, address.find(':'));
     auto second = request.path.find('/', 1);
     auto& sum = traffic[request.path.substr(0, request.path.find_first_of("/?", second + 1))];
@@ -184,6 +193,11 @@
   std::map<std::string, Server> servers_;
   std::set<std::string> silent_;
   std::vector<Cut> cuts_;
+  struct Mute {
+    std::int64_t until{};
+    bool refused{};
+  };
+  std::map<std::string, Mute> mutes_;
 };
 
 // One life of one process: its timers and answers end with it. The clock may run fast.
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -113,6 +113,7 @@
   pollUnknown();
   watchLeader();
   watchService();
+  watchWaits();
 }
 
 World::~World() {
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -95,6 +95,18 @@
     for (const auto& id : unanswered(withinMs)) fail("unanswered", id);
   }
   std::set<std::string> unanswered(std::int64_t withinMs) const;
+  // All troubles are over: from now on who waits while there is room is remembered
+  // (`expectNoWaiting`).
+  void calm();
+  // Breaks `waits` for each job that waited for so long while one machine that fits had room all
+  // the time, as its worker has it, and its team was under its limit: since `calm`, or until now.
+  void expectNoWaiting();
+  // The jobs that wait like this now, with the machine.
+  std::map<std::string, std::string> waitingBesideRoom() const;
+  // Jobs that run and would go on for so much longer if nobody cancelled them.
+  std::vector<std::string> runningFor(double leastS) const;
+  // The machines on which tasks of this job are.
+  std::vector<std::string> machinesOf(const std::string& id) const;
   // Seconds from acceptance to the first start of a task; huge if there was none.
   double began(const std::string& id) const;
   // By class: jobs, seconds until they began (mean, nine tenths, longest) and until they were done.
@@ -189,6 +201,7 @@
     std::int64_t doneAt = -1;      // as first told
     double got = 0, due = 0;       // served, as far as it was judged
     std::int64_t judgedFrom = -1;
+    std::map<std::string, std::int64_t> besideRoom;  // machines with room for it, since when
   };
   void boot(int node);
   region::RegionSettings regionSettings() const;
@@ -205,6 +218,20 @@
   Json spec(const JobPlan& p) const;
 
   void watchService();
+  // Who waits beside room (sim/world_waits.cpp).
+  struct Roomy {
+    std::string zone;
+    bool spot{};
+    double cpus{}, gpus{}, ram{};
+  };
+  void watchWaits();
+  std::map<std::string, Roomy> machinesWithRoom() const;
+  std::set<int> missingTasks(const std::string& id, const UserJob& job) const;
+  std::set<std::string> fitting(const std::string& id, const JobPlan& plan, std::size_t missing,
+                                const std::map<std::string, Roomy>& room) const;
+  double teamUses(const std::string& team) const;
+  bool calm_ = false;
+  std::map<std::string, std::string> waited_;  // since `calm`, with the machine
   std::set<std::string> largest(const std::string& jobClass) const;
   std::unique_ptr<Balancer> balancer_;
   std::int64_t goneByMs_ = 0;
--- /dev/null
+++ b/tests/sim/world_waits.cpp
@@ -0,0 +1,162 @@
+// Who waits while there is room: no job may, for long, once all troubles are over.
+#include <algorithm>
+
+#include "sim/world.hpp"
+
+namespace kestrelhoist::sim {
+namespace {
+constexpr std::int64_t kEvery = 1000;
+constexpr std::int64_t kLongest = 90000;
+constexpr double kRounding = 1e-9;
+}  // namespace
+
+// Room as the workers have it: what is not ended takes room, whether it has its image or not.
+std::map<std::string, World::Roomy> World::machinesWithRoom() const {
+  std::map<std::string, Roomy> out;
+  for (const auto& [host, w] : workers) {
+    if (!w->takesWork() || faulty_.contains(host)) continue;
+    Roomy r{w->zone, w->spot, settings.cpus, settings.gpus, settings.ram};
+    for (const auto& t : w->tasks) {
+      if (t.state == "ended") continue;
+      const JobPlan* p = plan(t.job);
+      r.cpus -= p ? p->cpus : t.needs.cpus;
+      r.gpus -= p ? p->gpus : t.needs.gpus;
+      r.ram -= p ? p->ram : 0;
+    }
+    if (r.cpus > 0 && r.ram > 0) out.emplace(host, r);
+  }
+  return out;
+}
+
+// Not done, and on no machine.
+std::set<int> World::missingTasks(const std::string& id, const UserJob& job) const {
+  std::set<int> out;
+  for (int i = 0; i < job.plan.tasks; ++i) {
+    if (!results.contains({id, i})) out.insert(i);
+  }
+  for (const auto& [host, w] : workers) {
+    for (const auto& t : w->tasks) {
+      if (t.job == id && t.state != "ended") out.erase(t.index);
+    }
+  }
+  return out;
+}
+
+double World::teamUses(const std::string& team) const {
+  double gpus = 0;
+  for (const auto& [host, w] : workers) {
+    for (const auto& t : w->tasks) {
+      const JobPlan* p = plan(t.job);
+      if (t.state != "ended" && p && p->team == team) gpus += p->gpus;
+    }
+  }
+  return gpus;
+}
+
+// The machines on which one more task of the job may be; of a gang, of which all must find room,
+// those of a zone or of all zones that hold all of it.
+std::set<std::string> World::fitting(const std::string& id, const JobPlan& p, std::size_t missing,
+                                     const std::map<std::string, Roomy>& room) const {
+  bool gang = p.shape == "ensemble";
+  double wanted = p.gpus * static_cast<double>(gang ? missing : 1);
+  if (settings.gpusMax > 0 && teamUses(p.team) + wanted > settings.gpusMax + kRounding) return {};
+  std::map<std::string, int> perZone;
+  for (const auto& [host, w] : workers) {
+    for (const auto& t : w->tasks) perZone[w->zone] += t.job == id && t.state != "ended";
+  }
+  bool begun = std::any_of(perZone.begin(), perZone.end(), [](auto& z) { return z.second > 0; });
+  std::map<std::string, std::set<std::string>> machines;  // by zone
+  std::map<std::string, std::size_t> places;
+  for (const auto& [host, r] : room) {
+    if (r.spot && !p.spot) continue;
+    if (!p.zone.empty() && p.zone != r.zone) continue;
+    if (p.together && begun && perZone[r.zone] == 0) continue;
+    if (p.apart && perZone[r.zone] >= (p.tasks + 1) / 2) continue;
+    double times = std::min(r.cpus / p.cpus, r.ram / p.ram);
+    if (p.gpus > 0) times = std::min(times, r.gpus / p.gpus);
+    if (times + kRounding < 1) continue;
+    const std::string& key = p.together ? r.zone : std::string();
+    machines[key].insert(host);
+    places[key] += static_cast<std::size_t>(times + kRounding);
+  }
+  std::set<std::string> out;
+  for (auto& [zone, hosts] : machines) {
+    if (!gang || places[zone] >= missing) out.merge(hosts);
+  }
+  return out;
+}
+
+void World::watchWaits() {
+  clock.in(kEvery, [this] { watchWaits(); });
+  std::map<std::string, Roomy> room;
+  bool known = false;
+  for (auto& [id, j] : users_) {
+    bool judged = j.accepted && !j.abortAsked && j.told.empty() && j.plan.errsAfterS < 0;
+    auto missing = judged ? missingTasks(id, j) : std::set<int>{};
+    if (missing.empty()) {
+      j.besideRoom.clear();
+      continue;
+    }
+    if (!std::exchange(known, true)) room = machinesWithRoom();
+    auto fits = fitting(id, j.plan, missing.size(), room);
+    std::erase_if(j.besideRoom, [&](const auto& e) { return !fits.contains(e.first); });
+    for (const auto& host : fits) {
+      auto since = j.besideRoom.try_emplace(host, clock.now()).first->second;
+      if (calm_ && clock.now() - since >= kLongest) waited_.try_emplace(id, host);
+    }
+  }
+}
+
+void World::calm() {
+  calm_ = true;
+  waited_.clear();
+  for (auto& [id, j] : users_) j.besideRoom.clear();
+}
+
+std::map<std::string, std::string> World::waitingBesideRoom() const {
+  auto out = waited_;
+  for (const auto& [id, j] : users_) {
+    for (const auto& [host, since] : j.besideRoom) {
+      if (clock.now() - since >= kLongest) out.try_emplace(id, host);
+    }
+  }
+  return out;
+}
+
+void World::expectNoWaiting() {
+  for (const auto& [id, host] : waitingBesideRoom()) {
+    fail("waits", id + " although " + host + " has room");
+  }
+}
+
+std::vector<std::string> World::machinesOf(const std::string& id) const {
+  std::vector<std::string> out;
+  for (const auto& [host, w] : workers) {
+    if (!w->gone && std::any_of(w->tasks.begin(), w->tasks.end(), [&](const Worker::Task& t) {
+          return t.job == id && t.state != "ended";
+        })) {
+      out.push_back(host);
+    }
+  }
+  return out;
+}
+
+std::vector<std::string> World::runningFor(double leastS) const {
+  std::set<std::string> out;
+  for (const auto& [host, w] : workers) {
+    for (const auto& t : w->tasks) {
+      auto job = users_.find(t.job);
+      if (!Worker::on(t) || job == users_.end()) continue;
+      const UserJob& j = job->second;
+      if (!j.accepted || j.abortAsked || !j.told.empty()) continue;
+      auto saved = progress.find({t.job, t.index});
+      double left = j.plan.runS + t.index * j.plan.staggerS -
+                    (saved == progress.end() ? 0 : saved->second) -
+                    static_cast<double>(clock.now() - t.startedAt) / 1000.0;
+      if (j.plan.shape == "daemon" || left >= leastS) out.insert(t.job);
+    }
+  }
+  return {out.begin(), out.end()};
+}
+
+}  // namespace kestrelhoist::sim
