A worker that answers commands but reports to nobody gets no more work

Cause: answers to direct questions count as heard, so a machine whose worker opens no connections stayed usable. Its leases end by themselves every lease_s, and each time its tasks were placed there again. Change: a direct answer that shows a later session marks the machine mute until it reports of its own accord; a mute machine gets no work and, empty for a lease while most machines report, is given back.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -35,7 +35,14 @@
     m.firstSeen = m.rentedAt = now;
   }
   bool first = !m.heard();
+  bool leaseEnded = !first && report.tenure > m.memory.last->tenure;
   if (!takeReport(m.memory, report, now, beat)) return false;
+  if (beat) {
+    m.muteSince.reset();
+  } else if (leaseEnded && !m.muteSince) {
+    m.muteSince = now;
+    logInfo("machine answers but does not report", "machine", m.id, "tenure", report.tenure);
+  }
   m.type = report.type;
   m.zone = report.zone;
   m.spot = report.spot;
@@ -167,7 +174,7 @@
 }
 
 bool Fleet::usable(const Machine& m, Instant now) const {
-  if (!m.heard() || m.releaseWanted || m.noticeEnds || faulty(m)) return false;
+  if (!m.heard() || m.releaseWanted || m.noticeEnds || m.muteSince || faulty(m)) return false;
   if (m.memory.last->token != token_) return false;
   if (now - m.memory.lastHeard > 2 * platform_.reportEvery + Duration{1000}) return false;
   const auto* record = replica_.machine(m.id);
@@ -283,7 +290,7 @@
     int onTime = 0, overdue = 0;
   };
   std::map<ZoneId, Count> zones;
-  int reporting = 0, expected = 0;
+  int reporting = 0, expected = 0, mute = 0;
   const Duration due = reportDue();
   for (const auto& [id, m] : machines_) {
     if (!m.heard()) {
@@ -298,6 +305,7 @@
     // On time, not merely within a worker's patience: where hardly any is, the way to all of them
     // is what fails, and they need a tour of all nodes to be heard again.
     if (now - last <= due) ++reporting;
+    if (m.muteSince) ++mute;
   }
   silentZones_.clear();
   for (const auto& [zone, count] : zones) {
@@ -348,6 +356,13 @@
       wantRelease(m, "tasks of several sound jobs failed on it");
       continue;
     }
+    // Another in its place can be used. Where most are like this, new ones would be, too.
+    if (m.muteSince && !hasTasks && 2 * mute <= expected &&
+        now - *m.muteSince > platform_.workerLease) {
+      ++lost_;
+      wantRelease(m, "answers but does not report");
+      continue;
+    }
     if (!m.heard() && !hasTasks) {
       const MachineType* type = catalogue ? catalogue->find(m.type) : nullptr;
       if (type && m.listed != Listed::running &&
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -34,6 +34,9 @@
   std::string address;                  // as last reported or listed
   Instant askedAt{};                    // last asked directly
   int askedInVain{};                    // direct questions in a row without an answer
+  // Since when it is known to answer questions while its lease ended, and to report nothing: no
+  // controller answers its reports, so that whatever runs on it ends with its lease.
+  std::optional<Instant> muteSince;
   bool releaseWanted{};
   std::string releaseWhy;
   struct Image {
