--- a/region/model/region.hpp
+++ b/region/model/region.hpp
@@ -46,6 +46,8 @@
   void notice(std::int64_t ms);
   // Hangs beyond its lease: its tasks end before it does anything else.
   bool leaseOver() const;
+  // Neither hangs nor is about to be taken.
+  bool takesWork() const { return !gone && !frozen() && noticeEnds_ == 0; }
   bool gone = false;
   std::int64_t goneAt = -1;
   std::string host, zone;
--- a/tests/scenario_expect.hpp
+++ b/tests/scenario_expect.hpp
@@ -67,6 +67,11 @@
                "goneby") {  // expect goneby most S: tasks of cancelled jobs, after the answer
       std::cout << "gone by " << w.goneBy() << " s of " << settings_.cancelS << " s\n";
       EXPECT_LE(w.goneBy(), std::stod(words.at(3)));
+    } else if (what ==
+               "nowaiting") {  // expect nowaiting: 90 s after the last trouble, at the earliest
+      w.expectNoWaiting();
+    } else if (what == "waiting") {  // expect waiting ID: what the check above is for
+      EXPECT_TRUE(w.waitingBesideRoom().contains(words.at(2))) << "does not wait beside room";
     } else if (what == "unanswered") {  // expect unanswered ID: what the check above is for
       EXPECT_TRUE(w.unanswered(kForgotten).contains(words.at(2))) << "was answered";
     } else if (what == "unbegun") {  // expect unbegun ID S: it had no task started so long after
--- a/tests/scenario_troubles.hpp
+++ b/tests/scenario_troubles.hpp
@@ -76,15 +76,21 @@
                                                                {"odd_requests", {1}},
                                                                {"alongside", {2}},
                                                                {"own_abort", {1}},
-                                                               {"singles_cancelled", {1}}};
+                                                               {"singles_cancelled", {1}},
+                                                               {"cancel_now", {1}},
+                                                               {"machine_mute", {2}},
+                                                               {"cancel_at_claim", {1, 2}},
+                                                               {"cancel_edge", {1}},
+                                                               {"reach", {2}},
+                                                               {"disturb", {2}}};
   static const std::set<std::string> kOptions{
       "nodes", "ordinary",   "spot",  "boot",     "bootfail", "gpusmax", "report",
       "lease", "cancel",     "pace",  "balancer", "writes",   "fetch",   "valuekb",
       "ops",   "flows",      "tasks", "gpus",     "cpus",     "wrong",   "ram",
       "run",   "checkpoint", "due",   "soon",     "failed",   "pagerows"};
-  static const std::set<std::string> kWords{"phase", "leader",  "flow",     "underserved",
-                                            "gone",  "waits",   "answered", "unanswered",
-                                            "storm", "periods", "settled"};
+  static const std::set<std::string> kWords{
+      "phase",      "leader", "flow",    "underserved", "gone",      "waits",  "answered",
+      "unanswered", "storm",  "periods", "settled",     "nowaiting", "waiting"};
   auto bad = [&](const std::string& word) -> std::string {
     char* end = nullptr;
     double v = std::strtod(word.c_str(), &end);
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -117,6 +117,7 @@
   pollUnknown();
   watchLeader();
   watchService();
+  watchWaits();
 }
 
 World::~World() {
