Limits of the state service that fall: the smaller ones hold from the start, stretches go on in parts

After state_limits the leader of the version before never committed again: its transactions were larger than the new limits, got 400, and were offered anew once a second.

settings.state.next: Platform's limits are the smaller of both; valueBytesNow is the present one. A stretch of tasks that was made for larger values is never written again once all members read format 2: its parts are (kh/part/<job>/<first>-<last>, on the stamps of the stretch and their own), each all there is to know of its tasks; until then the old form is written. Parts of a flow's job go after it. Pages of flows have a dense form; account blocks that are too full stay; standing and forecast are shortened; a past policy that does not fit is not kept. TasksRecord::bytes counted up to 1 KiB for bits that are not there. After a 400 the leader reads before it goes on. The stand-in has limits (400, 429).

--- a/region/model/state_service.cpp
+++ b/region/model/state_service.cpp
@@ -95,16 +95,35 @@
   return jsonResponse(400, Json::object());
 }
 
+// In any second at most so many, and a second's worth at once.
+bool StateService::overRate(std::size_t changes) {
+  if (writesPerS <= 0) return false;
+  double since = static_cast<double>(clock_.now() - roomAt_) / 1000.0;
+  room_ = std::min(writesPerS, room_ + since * writesPerS);
+  roomAt_ = clock_.now();
+  auto n = static_cast<double>(changes);
+  if (room_ < n) return true;
+  room_ -= n;
+  return false;
+}
+
 Response StateService::commit(const Json& body) {
   const Json& when = body.at("when");
   const Json& writes = body.at("writes");
+  if (refuses && refuses(writes)) return jsonResponse(503, {{"error", "trouble"}});
   changes_made += writes.size();
+  if (overRate(writes.size())) {
+    ++tooMany;
+    return jsonResponse(429, {{"error", "too many changes"}});
+  }
   if (writes.size() > transactionOps || when.size() > 4 * transactionOps ||
       body.dump().size() > 64 * 1024) {
+    ++tooLarge;
     return jsonResponse(400, {{"error", "too large"}});
   }
   for (const auto& w : writes) {
     if (w.contains("data") && w["data"].dump().size() > valueBytes) {
+      ++tooLarge;
       return jsonResponse(400, {{"error", "value too large"}});
     }
     if (w.contains("ticket") && !leases_.contains(w["ticket"].get<std::uint64_t>())) {
--- a/region/model/state_service.hpp
+++ b/region/model/state_service.hpp
@@ -15,6 +15,10 @@
   void refuse(const std::string& host, std::int64_t ms) { refused_[host] = clock_.now() + ms; }
   std::size_t transactionOps = 8;
   std::size_t valueBytes = 8192;
+  double writesPerS = 0;                  // puts and deletes; 0: any number
+  std::size_t tooLarge = 0, tooMany = 0;  // transactions that got 400 for their size, or 429
+  // Transactions that get 503, as a checker decides; may be null.
+  std::function<bool(const Json& writes)> refuses;
   std::size_t changes_made = 0;  // puts and deletes, failed transactions' included
   std::size_t reads_made = 0;
   std::size_t bytes_written = 0;  // of values, in text form
@@ -47,6 +51,7 @@
   Response changes(const std::map<std::string, std::string>& query);
   void expire();
   void drop(const std::string& key);
+  bool overRate(std::size_t changes);
 
   Clock& clock_;
   std::map<std::string, Entry> data_;
@@ -54,6 +59,8 @@
   std::vector<Change> log_;
   std::uint64_t epoch_ = 0, nextLease_ = 1;
   std::int64_t outageUntil_ = 0;
+  double room_ = 0;  // changes that may come now
+  std::int64_t roomAt_ = 0;
   std::map<std::string, std::int64_t> refused_;
 };
 
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -222,6 +222,7 @@
                           workerLine_, platform_, settings_, election_.token(), runtime_.now()};
     leadership.workersReached = [this](Instant sent) { return workerLine_.reachedSince(sent); };
     leadership.inForce = &policyCopy_;
+    leadership.allRead = [this](unsigned format) { return versions_.allAtLeast(format); };
     leadership.timeOfDay = [this] { return timeOfDay(); };
     leader_ =
         std::make_unique<Leader>(leadership, planner_, policyCopy_, [this](const ZoneId& zone) {
--- a/src/app/leader.cpp
+++ b/src/app/leader.cpp
@@ -161,9 +161,13 @@
           case Outcome::rejected:
           case Outcome::noLease:
             logError("commit rejected", "what", commit->what);
+            // Too large, since the limits fell? An earlier copy may have been taken before that.
             leadership_.runtime.after(Duration{1000}, leadership_.guard([this] {
-              busy_ = false;
-              kick();
+              leadership_.feed.fresh(leadership_.guard([this](bool) {
+                busy_ = false;
+                changed(false);
+                kick();
+              }));
             }));
             return;
           case Outcome::refused:
--- a/src/cloud/window_duty.cpp
+++ b/src/cloud/window_duty.cpp
@@ -25,9 +25,7 @@
   if (leadership_.catalogue && !leadership_.replica.catalogue())
     set(keys::kCatalogue, kestrelhoist::toJson(*leadership_.catalogue));
   if (dirty_) {
-    Json value = toJson();
-    if (value.dump().size() < leadership_.platform.valueBytes)
-      set(keys::kForecast, std::move(value));
+    set(keys::kForecast, fitting(leadership_.platform.valueBytes));
     dirty_ = false;
   }
   if (t.writes.empty()) return Turn::pass();
@@ -62,6 +60,19 @@
   rentals_.decide(true);
 }
 
+// With less of what a new leader can learn again: first suspects, then types' series.
+Json WindowDuty::fitting(std::size_t bytes) const {
+  Json value = toJson();
+  for (const char* list : {"suspect", "types"}) {
+    while (value.dump().size() >= bytes && !value[list].empty()) {
+      Json& entries = value[list];
+      std::size_t keep = entries.size() / 2;
+      while (entries.size() > keep) entries.erase(std::prev(entries.end()));
+    }
+  }
+  return value;
+}
+
 Json WindowDuty::toJson() const {
   Json types = Json::object();
   for (const auto& [type, series] : forecasts_.series) {
--- a/src/cloud/window_duty.hpp
+++ b/src/cloud/window_duty.hpp
@@ -25,6 +25,7 @@
  private:
   void turn();
   Json toJson() const;
+  Json fitting(std::size_t bytes) const;
 
   Leadership& leadership_;
   Fleet& fleet_;
--- a/src/config/config_test.cpp
+++ b/src/config/config_test.cpp
@@ -71,6 +71,28 @@
   EXPECT_EQ(p.teams.at(TeamId{"t"}).limit.gpus, 4.0);
 }
 
+std::string withNext(const std::string& next) {
+  std::string s = kGood;
+  return s + "[settings.state.next]\n" + next;
+}
+
+TEST(PlatformSettings, LimitsThatFallHoldFromTheStart) {
+  auto p = parsePlatform(withNext("value_kb = 2.0\ntxn_ops = 4\nwrite_rps = 18.0\nother = 1\n"),
+                         "settings.toml");
+  EXPECT_EQ(p.valueBytes, 2048U);
+  EXPECT_EQ(p.valueBytesNow, 8192U);
+  EXPECT_EQ(p.transactionOps, 4U);
+  EXPECT_EQ(p.stateWritesPerS, 18.0);
+  EXPECT_EQ(p.stateRequestsPerS, 150.0);
+  // Each is optional, and none is raised by what is to come.
+  p = parsePlatform(withNext("txn_ops = 64\n"), "settings.toml");
+  EXPECT_EQ(p.valueBytes, 8192U);
+  EXPECT_EQ(p.transactionOps, 8U);
+  EXPECT_EQ(p.stateWritesPerS, 25.0);
+  EXPECT_EQ(faultOf(withNext("value_kb = \"2\"\n")),
+            "settings.toml: settings.state.next.value_kb: must be a number");
+}
+
 TEST(PlatformSettings, FaultsNameFileAndField) {
   EXPECT_EQ(faultOf(without("lease_s = 11.0")),
             "settings.toml: settings.workers.lease_s: is missing");
--- a/src/config/platform.cpp
+++ b/src/config/platform.cpp
@@ -1,5 +1,6 @@
 #include "config/platform.hpp"
 
+#include <algorithm>
 #include <fstream>
 #include <set>
 #include <sstream>
@@ -65,6 +66,22 @@
   std::string file_;
 };
 
+// The limits that the state service will have from some moment on, without notice.
+void readNextLimits(const Reader& r, const toml::table& next, Platform& p) {
+  const std::string at = "settings.state.next.";
+  if (next.contains("write_rps")) {
+    p.stateWritesPerS = std::min(p.stateWritesPerS, r.number(next, at, "write_rps", 1));
+  }
+  if (next.contains("value_kb")) {
+    auto bytes = static_cast<std::size_t>(r.number(next, at, "value_kb", 1) * 1024);
+    p.valueBytes = std::min(p.valueBytes, bytes);
+  }
+  if (next.contains("txn_ops")) {
+    auto ops = static_cast<std::size_t>(r.number(next, at, "txn_ops", 3));
+    p.transactionOps = std::min(p.transactionOps, ops);
+  }
+}
+
 }  // namespace
 
 Platform parsePlatform(const std::string& content, const std::string& file) {
@@ -124,6 +141,8 @@
   p.stateWritesPerS = r.number(state, at + "state.", "write_rps", 1);
   p.valueBytes = static_cast<std::size_t>(r.number(state, at + "state.", "value_kb", 1) * 1024);
   p.transactionOps = static_cast<std::size_t>(r.number(state, at + "state.", "txn_ops", 3));
+  p.valueBytesNow = p.valueBytes;
+  if (state.contains("next")) readNextLimits(r, r.table(state, at + "state.", "next"), p);
   const auto& cloud = r.table(settings, at, "cloud");
   p.cloudRequestsPerS = r.number(cloud, at + "cloud.", "rps", 0.01);
   p.listLag = fromSeconds(r.number(cloud, at + "cloud.", "list_lag_s", 0));
--- a/src/config/platform.hpp
+++ b/src/config/platform.hpp
@@ -46,9 +46,13 @@
   Duration cancelWithin{};
 
   double stateRequestsPerS{};
+  // Of the state service: the smaller of its present limits and of those that it will have from
+  // some moment on (`state.next`), so that what is written is taken before and after.
   double stateWritesPerS{};
   std::size_t valueBytes{};
   std::size_t transactionOps{};
+  // Its present limit alone: of what an older version, which knows no other, may have written.
+  std::size_t valueBytesNow{};
 
   double cloudRequestsPerS{};
   Duration listLag{};
--- a/src/flows/draft.hpp
+++ b/src/flows/draft.hpp
@@ -47,6 +47,7 @@
              e.perTask.gpus == rule.perTask.gpus && e.perTask.ramGb == rule.perTask.ramGb;
     };
     auto add = [&](std::vector<AccountEntry>& entries) {
+      if (accountBytes(entries) > leadership_->oldValueBytes()) return false;
       auto it = std::find_if(entries.begin(), entries.end(), same);
       if (it == entries.end()) return false;
       it->use += use;
@@ -57,6 +58,8 @@
     }
     for (const auto& [block, entries] : flow_->accounts) {
       if (accounts_.contains(block) || std::none_of(entries.begin(), entries.end(), same)) continue;
+      // One that was filled under a larger limit stays as it is: entries of a rule add up.
+      if (accountBytes(entries) > leadership_->oldValueBytes()) continue;
       add(accounts_.emplace(block, entries).first->second);
       return;
     }
@@ -64,11 +67,14 @@
     if (!flow_->accounts.empty()) last = flow_->accounts.rbegin()->first;
     if (!accounts_.empty()) last = std::max(last, accounts_.rbegin()->first);
     auto known = flow_->accounts.find(last);
-    if (known != flow_->accounts.end()) accounts_.try_emplace(last, known->second);
+    std::size_t filled = accounts_.contains(last)         ? accountBytes(accounts_.at(last))
+                         : known != flow_->accounts.end() ? accountBytes(known->second)
+                                                          : 0;
     // Numbers grow: a value is filled to a half only.
-    if (accountBytes(accounts_[last]) + rule.name.size() + 128 >
-        leadership_->platform.valueBytes / 2) {
+    if (filled + rule.name.size() + 128 > leadership_->platform.valueBytes / 2) {
       ++last;
+    } else if (known != flow_->accounts.end()) {
+      accounts_.try_emplace(last, known->second);
     }
     accounts_[last].push_back({rule.name, rule.perTask, use});
   }
@@ -99,8 +105,8 @@
   bool fits() const {
     std::size_t bytes = bytes_ + 1024;
     for (const auto& [number, letters] : pages_) {
-      std::size_t size = packPage(letters).size();
-      if (size + 64 > leadership_->platform.valueBytes) return false;
+      std::size_t size = packPage(letters, leadership_->newForms()).size();
+      if (size + 64 > leadership_->oldValueBytes()) return false;
       bytes += size + 128;
     }
     for (const auto& [block, entries] : accounts_) bytes += accountBytes(entries) + 128;
@@ -110,7 +116,7 @@
   Transaction finish() {
     for (const auto& [number, letters] : pages_) {
       std::string key = keys::page(id_, graph_, number);
-      set(key, packPage(letters), leadership_->replica.stampOf(key));
+      set(key, packPage(letters, leadership_->newForms()), leadership_->replica.stampOf(key));
     }
     for (const auto& [block, entries] : accounts_) {
       Json list = Json::array();
--- a/src/flows/duty.cpp
+++ b/src/flows/duty.cpp
@@ -183,7 +183,20 @@
       return Turn::of(std::move(commit));
     }
   }
-  return Turn::pass();
+  return Turn::of(dropOrphans());
+}
+
+// Parts of tasks' stretches go after their job, whose end would not fit one transaction with them.
+// Names of jobs are never given twice.
+std::optional<Commit> FlowDuty::dropOrphans() const {
+  Transaction t = leadership_.begin();
+  for (const auto& [key, stamp] : leadership_.replica.orphanParts()) {
+    if (t.writes.size() == leadership_.platform.transactionOps) break;
+    t.conditions.push_back({key, stamp});
+    t.writes.push_back({key, std::nullopt, std::nullopt});
+  }
+  if (t.writes.empty()) return std::nullopt;
+  return Commit{std::move(t), nullptr, "parts of ended jobs"};
 }
 
 std::optional<Commit> FlowDuty::nextOf(const FlowId& id, const FlowState& flow) {
@@ -213,11 +226,11 @@
 // instances that it was for get their state in the same transaction.
 void FlowDuty::endJob(Draft& draft, const FlowState& flow, const JobId& id, const JobState& job,
                       const OpenJob* open, Run* run) {
-  Use use;
+  Use use = job.flow->use();
   for (const auto& [stretch, s] : job.flow->stretches) {
-    use += s.use;
     std::string key = keys::tasks(id, stretch);
-    draft.drop(key, leadership_.replica.stampOf(key));
+    Revision stamp = leadership_.replica.stampOf(key);
+    if (stamp != Revision{}) draft.drop(key, stamp);
   }
   draft.drop(keys::job(id), job.stamp);
   const FlowVersion* own = flow.version(job.record.flow->graph);
--- a/src/flows/duty.hpp
+++ b/src/flows/duty.hpp
@@ -52,6 +52,7 @@
   std::optional<Commit> amend(const FlowId& id, const FlowState& flow);
   std::optional<Commit> wind(const FlowId& id, const FlowState& flow);
   std::optional<Commit> remove(const FlowId& id, const FlowState& flow);
+  std::optional<Commit> dropOrphans() const;
   void endJob(Draft& draft, const FlowState& flow, const JobId& id, const JobState& job,
               const OpenJob* open, Run* run);
   void createJob(Draft& draft, const FlowId& id, const FlowState& flow, Run& run,
--- a/src/flows/records.cpp
+++ b/src/flows/records.cpp
@@ -147,7 +147,45 @@
                       useFrom(v[4])};
 }
 
-std::string packPage(const std::string& states) {
+namespace {
+constexpr std::string_view kLetters = "wadf";
+constexpr std::string_view kSigns =
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
+constexpr char kDense = '~';
+
+// Their number, then three states in each sign.
+std::string packDense(const std::string& states) {
+  std::string out = kDense + std::to_string(states.size()) + kDense;
+  for (std::size_t i = 0; i < states.size(); i += 3) {
+    std::size_t sign = 0;
+    for (std::size_t k = i; k < i + 3; ++k) {
+      sign = sign * 4 + (k < states.size() ? kLetters.find(states[k]) : 0);
+    }
+    out += kSigns[sign];
+  }
+  return out;
+}
+
+std::optional<std::string> unpackDense(const std::string& text) {
+  std::size_t count = 0;
+  const char* end = text.data() + text.size();
+  auto [at, error] = std::from_chars(text.data() + 1, end, count);
+  if (error != std::errc{} || at == end || *at != kDense || count < 1 || count > kPageSize) {
+    return std::nullopt;
+  }
+  std::string out;
+  for (++at; at != end; ++at) {
+    std::size_t sign = kSigns.find(*at);
+    if (sign == std::string_view::npos || out.size() >= count) return std::nullopt;
+    out += {kLetters[sign / 16], kLetters[sign / 4 % 4], kLetters[sign % 4]};
+  }
+  if (out.size() < count || out.size() > count + 2) return std::nullopt;
+  out.resize(count);
+  return out;
+}
+}  // namespace
+
+std::string packPage(const std::string& states, bool dense) {
   std::string runs;
   for (std::size_t i = 0; i < states.size();) {
     std::size_t j = i;
@@ -156,10 +194,12 @@
     if (j - i > 1) runs += std::to_string(j - i);
     i = j;
   }
+  if (dense && !states.empty() && runs.size() > states.size() / 3 + 8) return packDense(states);
   return runs;
 }
 
 std::optional<std::string> unpackPage(const std::string& text) {
+  if (text.starts_with(kDense)) return unpackDense(text);
   std::string out;
   for (std::size_t i = 0; i < text.size();) {
     char c = text[i++];
--- a/src/flows/records.hpp
+++ b/src/flows/records.hpp
@@ -87,8 +87,9 @@
 std::optional<AccountEntry> accountEntryFrom(const Json& v);
 
 // States of up to kPageSize instances, a letter each: w(aiting), a(ssigned), d(one), f(ailed).
-// In the shorter of two forms: letters, or letters with their counts.
-std::string packPage(const std::string& states);
+// Letters with their counts; if that is shorter and `dense` allows it, three states in each sign,
+// which takes at most a third of a page's size (older versions can't read it).
+std::string packPage(const std::string& states, bool dense = false);
 std::optional<std::string> unpackPage(const std::string& text);
 
 // The part of a job's record that says which instances its tasks are.
--- a/src/flows/service_reads.cpp
+++ b/src/flows/service_reads.cpp
@@ -124,8 +124,7 @@
     const FlowVersion* version = flow.version(job->record.flow->graph);
     if (!version || job->record.flow->rule >= version->graph.rules().size()) continue;
     const FlowRule& rule = version->graph.rules()[job->record.flow->rule];
-    Use use;
-    for (const auto& [stretch, s] : job->flow->stretches) use += s.use;
+    Use use = job->flow->use();
     if (!use.empty()) add(rule.name, rule.perTask, use);
   }
   return entries;
--- a/src/leadership/leadership.hpp
+++ b/src/leadership/leadership.hpp
@@ -36,6 +36,8 @@
   std::function<bool(Instant)> workersReached{};
   // What the policy says of work now; without one nothing.
   const InForce* inForce = nullptr;
+  // Whether each controller reads this format of records. Null: not known.
+  std::function<bool(unsigned)> allRead{};
   // Milliseconds since 1970, as the controllers agree on it.
   std::function<std::int64_t()> timeOfDay{};
   std::function<void(std::optional<Commit>)> done{};  // ends a held turn, with a commit or without
@@ -55,6 +57,14 @@
     return t;
   }
 
+  // The form of records for smaller limits may be written.
+  bool newForms() const { return allRead && allRead(2); }
+  // Of a value that an older version may have made larger than the smaller limit: until the new
+  // form may be written, the old one is, which the present limit still takes.
+  std::size_t oldValueBytes() const {
+    return newForms() ? platform.valueBytes : std::max(platform.valueBytes, platform.valueBytesNow);
+  }
+
   std::shared_ptr<int> alive = std::make_shared<int>(0);
 };
 
--- a/src/placement/task_duty.cpp
+++ b/src/placement/task_duty.cpp
@@ -75,7 +75,11 @@
   std::sort(urgent.begin(), urgent.end());
   for (const auto& [since, key] : urgent) {
     if (!facts_.due().contains(key)) continue;
-    if (!writes.open(key.first, *leadership_.replica.job(key.first), key.second)) break;
+    const auto& facts = facts_.due().at(key).facts;
+    bool all = std::all_of(facts.begin(), facts.end(), [&](const auto& fact) {
+      return writes.open(key.first, *leadership_.replica.job(key.first), fact.first);
+    });
+    if (!all) break;
   }
   if (writes.empty()) return std::nullopt;
   Transaction t = leadership_.begin();
--- a/src/placement/task_writes.hpp
+++ b/src/placement/task_writes.hpp
@@ -14,23 +14,29 @@
 class TaskWrites {
  public:
   TaskWrites(Leadership& leadership, TaskFacts& facts)
-      : leadership_(leadership), facts_(facts), limit_(leadership.platform.transactionOps) {}
+      : leadership_(leadership),
+        facts_(facts),
+        limit_(leadership.platform.transactionOps),
+        fits_(stretchFor(leadership.platform.valueBytes)),
+        newForms_(leadership.newForms()) {}
 
-  // False: this transaction is full.
-  bool open(const JobId& id, const JobState& job, std::uint32_t stretch) {
-    if (drafts_.contains({id, stretch})) return true;
-    // Room for this stretch and for its job's end.
+  // The record of this task, with what is due for it. False: this transaction is full.
+  bool open(const JobId& id, const JobState& job, std::uint32_t index) {
+    const Piece piece = pieceOf(job, index);
+    if (drafts_.contains({id, piece.first})) return true;
+    // Room for this record and for its job's end.
     if (full_ || drafts_.size() + ending_ + 2 > limit_) return false;
-    Draft draft{&job, leadership_.replica.stretchOf(job, stretch), 0, 0, false};
-    std::size_t size = draft.record.bytes();
+    Draft draft{&job, piece, leadership_.replica.tasksOf(job, piece.first, piece.last, !piece.part),
+                0,    0,     false};
+    std::size_t size = draft.record.bytes() + (piece.last - piece.first) / 4 + 2;
     if (bytes_ + size + kBytesPerWrite > kMaxTransactionBytes && !drafts_.empty()) {
       full_ = true;  // asked again for each of thousands of placements, which must cost nothing
       return false;
     }
     bytes_ += size + kBytesPerWrite;
     draft.bytes = size;
-    if (auto due = facts_.due().find({id, stretch}); due != facts_.due().end()) {
-      for (const auto& [index, fact] : due->second.facts) takeOff(id, draft, index, fact);
+    if (auto due = facts_.due().find({id, index / job.record.stretch}); due != facts_.due().end()) {
+      for (const auto& [task, fact] : due->second.facts) takeOff(id, draft, task, fact);
     }
     // A flow's job ends in its flow's own transaction.
     if (draft.done > 0 && !job.record.flow) {
@@ -38,20 +44,18 @@
       done += draft.done;
       if (job.finishedCount + done >= job.tasks) ++ending_;
     }
-    drafts_.emplace(std::pair(id, stretch), std::move(draft));
+    drafts_.emplace(std::pair(id, piece.first), std::move(draft));
     return true;
   }
 
-  // False: no more of this stretch in this transaction.
+  // False: no more of this record in this transaction.
   bool place(const JobId& id, const JobState& job, std::uint32_t index, const Placed& placed) {
-    std::uint32_t stretch = index / job.record.stretch;
-    if (!open(id, job, stretch)) return false;
-    Draft& draft = drafts_.at({id, stretch});
+    if (!open(id, job, index)) return false;
+    Draft& draft = drafts_.at({id, pieceOf(job, index).first});
     std::size_t more = placed.machine.value.size() + 46;
-    if (draft.bytes + more > leadership_.platform.valueBytes ||
-        bytes_ + more > kMaxTransactionBytes) {
-      return false;
-    }
+    std::size_t limit =
+        draft.isWide(fits_) ? leadership_.oldValueBytes() : leadership_.platform.valueBytes;
+    if (draft.bytes + more > limit || bytes_ + more > kMaxTransactionBytes) return false;
     draft.bytes += more;
     bytes_ += more;
     draft.record.placed.insert_or_assign(index, placed);
@@ -61,10 +65,10 @@
 
   bool mayPlace(const JobId& id, const JobState& job, std::uint32_t index) const {
     if (job.isSettled(index)) return false;
-    auto draft = drafts_.find({id, index / job.record.stretch});
+    auto draft = drafts_.find({id, pieceOf(job, index).first});
     if (draft != drafts_.end()) {
       return !draft->second.record.placed.contains(index) &&
-             !draft->second.record.finished.test(index % job.record.stretch) &&
+             !draft->second.record.finished.test(index - draft->second.piece.first) &&
              !(job.record.flow && failuresIn(draft->second, index) > job.record.flow->retries);
     }
     auto placed = job.placed.find(index);
@@ -78,18 +82,26 @@
 
   void finish(Transaction& t) {
     std::set<JobId> conditioned, ended;
+    std::set<std::string> conditionedWhole;
     for (auto& [key, draft] : drafts_) {
-      const auto& [id, stretch] = key;
+      const JobId& id = key.first;
       const JobState& job = *draft.job;
-      std::string name = keys::tasks(id, stretch);
+      const Piece& piece = draft.piece;
+      std::string whole = keys::tasks(id, piece.first / job.record.stretch);
+      std::string name = piece.part ? keys::part(id, piece.first, piece.last) : whole;
       t.conditions.push_back({name, leadership_.replica.stampOf(name)});
+      // Its tasks were in the stretch's record until now, if this is its first write.
+      if (piece.part && conditionedWhole.insert(whole).second) {
+        t.conditions.push_back({whole, leadership_.replica.stampOf(whole)});
+      }
       auto done = newlyDone_.find(id);
       bool ends = done != newlyDone_.end() && job.finishedCount + done->second >= job.tasks;
       // All tasks are done: the job's end is in the same transaction, on the job's stamp, and
       // what is left to know of its tasks goes. An abort moves the stamp, so it and a placement
       // can't both win; and a late copy of the write that created the key can't bring it back.
-      bool drop =
-          ends && draft.record.placed.empty() && leadership_.replica.stampOf(name) != Revision{};
+      // A part stays: without it the stretch's record, which is out of date, would count.
+      bool drop = ends && !piece.part && draft.record.placed.empty() &&
+                  leadership_.replica.stampOf(name) != Revision{};
       t.writes.push_back(
           {name, drop ? std::nullopt : std::optional(toJson(draft.record)), std::nullopt});
       if ((ends || draft.places) && conditioned.insert(id).second) {
@@ -106,14 +118,40 @@
 
  private:
   static constexpr std::size_t kBytesPerWrite = 400;  // keys, conditions, a job's end
+  // Tasks that share a record: a stretch, or a part of one.
+  struct Piece {
+    std::uint32_t first, last;
+    bool part;
+  };
   struct Draft {
     const JobState* job;
+    Piece piece;
     TasksRecord record;
     std::size_t bytes;
     std::uint32_t done;
     bool places;
+    // A stretch that was made for a larger limit.
+    bool isWide(std::uint32_t fits) const { return !piece.part && job->record.stretch > fits; }
   };
 
+  // Parts that are on record stay as they are. Others are cut for the smaller limit, in stretches
+  // that were made for a larger one.
+  Piece pieceOf(const JobState& job, std::uint32_t index) const {
+    const std::uint32_t stretch = job.record.stretch;
+    const std::uint32_t begin = index / stretch * stretch;
+    if (auto part = job.partOf(index)) return {part->first, part->second, true};
+    if (!job.parts && (stretch <= fits_ || !newForms_)) return {begin, begin + stretch, false};
+    std::uint32_t first = begin + (index - begin) / fits_ * fits_;
+    std::uint32_t last = std::min(first + fits_, begin + stretch);
+    if (job.parts) {
+      // Of another width, if the limits have fallen more than once.
+      auto after = job.parts->upper_bound(index);
+      if (after != job.parts->end()) last = std::min(last, after->first);
+      if (after != job.parts->begin()) first = std::max(first, std::prev(after)->second);
+    }
+    return {first, last, true};
+  }
+
   static std::uint32_t failuresIn(const Draft& draft, std::uint32_t index) {
     auto it = draft.record.failures.find(index);
     return it == draft.record.failures.end() ? 0 : it->second;
@@ -139,12 +177,13 @@
 
   void takeOff(const JobId& id, Draft& draft, std::uint32_t index, const TaskFacts::Fact& fact) {
     auto at = draft.record.placed.find(index);
+    if (index < draft.piece.first || index >= draft.piece.last) return;
     if (at == draft.record.placed.end() || at->second.attempt != fact.attempt) return;
     draft.record.placed.erase(at);
     const JobState& job = *draft.job;
     if (fact.gone == Gone::done && job.active() && job.record.spec->kind != JobKind::service &&
-        !draft.record.finished.test(index % job.record.stretch)) {
-      draft.record.finished.set(index % job.record.stretch);
+        !draft.record.finished.test(index - draft.piece.first)) {
+      draft.record.finished.set(index - draft.piece.first);
       ++draft.done;
     }
     if (job.record.flow) account(draft, index, fact);
@@ -154,7 +193,9 @@
   Leadership& leadership_;
   TaskFacts& facts_;
   std::size_t limit_;
-  std::map<TaskFacts::StretchKey, Draft> drafts_;
+  std::uint32_t fits_;  // tasks of a record under the smaller limit
+  bool newForms_;
+  std::map<std::pair<JobId, std::uint32_t>, Draft> drafts_;  // by the record's first task
   std::map<JobId, std::uint32_t> newlyDone_;
   std::vector<std::pair<AttemptId, Gone>> settled_;
   std::size_t ending_ = 0;
--- a/src/policy/duty.cpp
+++ b/src/policy/duty.cpp
@@ -8,6 +8,32 @@
 namespace {
 constexpr std::int64_t kHour = 3600000, kDay = 24 * kHour;
 constexpr std::size_t kHoursKept = 26, kDaysKept = 62;
+
+// With less of what can be learned or chosen anew, if it is more than a value takes: holders first,
+// then what pools' starts were like, then whole pools.
+Json fitting(Standing s, std::size_t bytes) {
+  Json value = toJson(s);
+  auto most = [&] {
+    std::size_t n = 0;
+    for (const auto& [image, held] : s.pools) n = std::max(n, held.machines.size());
+    return n;
+  };
+  while (value.dump().size() > bytes && most() > 0) {
+    std::size_t keep = most() / 2;
+    for (auto& [image, held] : s.pools) {
+      while (held.machines.size() > keep) held.machines.erase(std::prev(held.machines.end()));
+    }
+    value = toJson(s);
+  }
+  if (value.dump().size() <= bytes) return value;
+  for (auto& [image, held] : s.pools) held.starts = Forecast{};
+  value = toJson(s);
+  while (value.dump().size() > bytes && !s.pools.empty()) {
+    s.pools.erase(std::prev(s.pools.end()));
+    value = toJson(s);
+  }
+  return value;
+}
 }  // namespace
 
 void PolicyDuty::tick() {
@@ -57,11 +83,7 @@
   t.conditions.push_back({keys::kStanding, leadership_.replica.stampOf(keys::kStanding)});
   t.writes.push_back({keys::kStanding, toJson(s), std::nullopt});
   if (window) charge(t, s, what.nowMs);
-  if (toJson(s).dump().size() > leadership_.platform.valueBytes) {
-    // More holders than a value takes: the next leader chooses them anew.
-    for (auto& [image, held] : s.pools) held.machines.clear();
-    t.writes[0].value = toJson(s);
-  }
+  t.writes[0].value = fitting(s, leadership_.platform.valueBytes);
   return Turn::of(Commit{std::move(t), [this] { leadership_.replan = true; }, "what is in force"});
 }
 
@@ -258,7 +280,8 @@
     whole.throughMs = old.throughMs;
     put(keys::numbered(keys::kPaidDay, day), toJson(whole));
     put(keys::numbered(keys::kPaidHour, oldest), std::nullopt);
-    if (copy_.days().size() > kDaysKept && copy_.days().begin()->first != day) {
+    if (t.writes.size() < leadership_.platform.transactionOps && copy_.days().size() > kDaysKept &&
+        copy_.days().begin()->first != day) {
       put(keys::numbered(keys::kPaidDay, copy_.days().begin()->first), std::nullopt);
     }
   }
--- a/src/policy/service.cpp
+++ b/src/policy/service.cpp
@@ -120,9 +120,11 @@
       t.writes.push_back({key, std::move(value), std::nullopt});
     };
     put(keys::kPolicy, toJson(next));
-    if (now) {
+    // One that was set under a larger limit can't be kept among the past ones.
+    Json past = now ? toJson(*now) : Json();
+    if (now && past.dump().size() <= platform_.valueBytes) {
       put(keys::kPolicyPast + std::to_string(now->version % PolicyCopy::kVersionsKept),
-          toJson(*now));
+          std::move(past));
     }
     store_.commit(t, kCommitTimeout, [this, t, next, respond](CommitResult r) {
       switch (r.outcome) {
--- a/src/store/records.cpp
+++ b/src/store/records.cpp
@@ -5,9 +5,14 @@
 
 namespace kestrelhoist {
 
-void TaskBits::set(std::uint32_t offset) {
-  if (bytes_.size() <= offset / 8) bytes_.resize(offset / 8 + 1);
-  bytes_[offset / 8] |= static_cast<std::uint8_t>(1U << (offset % 8));
+void TaskBits::set(std::uint32_t offset, bool on) {
+  auto bit = static_cast<std::uint8_t>(1U << (offset % 8));
+  if (on && bytes_.size() <= offset / 8) bytes_.resize(offset / 8 + 1);
+  if (on) {
+    bytes_[offset / 8] |= bit;
+  } else if (offset / 8 < bytes_.size()) {
+    bytes_[offset / 8] &= static_cast<std::uint8_t>(~bit);
+  }
 }
 
 bool TaskBits::test(std::uint32_t offset) const {
@@ -68,8 +73,7 @@
 }
 
 std::size_t TasksRecord::bytes() const {
-  std::size_t n = 64 + TaskBits::kMost / 4;
-  if (!placed.empty()) n = 64 + (placed.rbegin()->first % TaskBits::kMost) / 4;
+  std::size_t n = 64 + finished.hexSize();
   const Placed* row = nullptr;
   for (const auto& [index, p] : placed) {
     n += 14;  // a run of its own at worst
--- a/src/store/records.hpp
+++ b/src/store/records.hpp
@@ -22,11 +22,15 @@
 inline const std::string kForecast = "kh/forecast";
 inline const std::string kJob = "kh/job/";
 inline const std::string kTasks = "kh/tasks/";
+inline const std::string kPart = "kh/part/";
 inline const std::string kRental = "kh/rental/";
 inline std::string job(const JobId& id) { return kJob + id.value; }
 inline std::string tasks(const JobId& id, std::uint32_t stretch) {
   return kTasks + id.value + "/" + std::to_string(stretch);
 }
+inline std::string part(const JobId& id, std::uint32_t first, std::uint32_t last) {
+  return kPart + id.value + "/" + std::to_string(first) + "-" + std::to_string(last);
+}
 inline std::string rental(const RentalId& id) { return kRental + id.value; }
 }  // namespace keys
 
@@ -34,10 +38,11 @@
 class TaskBits {
  public:
   static constexpr std::uint32_t kMost = 4096;
-  void set(std::uint32_t offset);
+  void set(std::uint32_t offset, bool on = true);
   bool test(std::uint32_t offset) const;
   std::uint32_t count() const;
   std::string toHex() const;
+  std::size_t hexSize() const { return bytes_.size() * 2; }
   static std::optional<TaskBits> fromHex(const std::string& text);
 
  private:
@@ -70,6 +75,11 @@
 
 // One stretch of a job's tasks: which are finished, and which may be on machines. A change of
 // many tasks of a job, on any number of machines, is one write.
+//
+// A stretch whose record may outgrow the state service's limit since that was lowered is never
+// written again: parts of it are, each a record of this form under a key that names its first task
+// and the one past its last. A part says all there is to know of its tasks; what the stretch's own
+// record says of them is out of date.
 struct TasksRecord {
   TaskBits finished;
   std::map<std::uint32_t, Placed> placed;  // by the task's number
@@ -77,7 +87,8 @@
   std::map<std::uint32_t, std::uint32_t> failures;  // of tasks that are not finished
   Use use;                                          // of attempts that have ended
 
-  // Of the value in text form, an upper bound: what the limits of the state service count.
+  // Of the value in text form, an upper bound for as many finished tasks: what the limits of the
+  // state service count.
   std::size_t bytes() const;
 };
 
--- a/src/store/replica.cpp
+++ b/src/store/replica.cpp
@@ -13,6 +13,21 @@
   return it != finished.end() && it->second.test(index % record.stretch);
 }
 
+std::optional<std::pair<std::uint32_t, std::uint32_t>> JobState::partOf(std::uint32_t index) const {
+  if (!parts) return std::nullopt;
+  auto after = parts->upper_bound(index);
+  if (after == parts->begin()) return std::nullopt;
+  const auto& part = *std::prev(after);
+  return index < part.second ? std::optional(std::pair(part.first, part.second)) : std::nullopt;
+}
+
+Use FlowJobState::use() const {
+  Use sum;
+  for (const auto& [stretch, s] : stretches) sum += s.use;
+  for (const auto& [first, use] : parts) sum += use;
+  return sum;
+}
+
 std::uint32_t JobState::failuresOf(std::uint32_t index) const {
   if (!flow || record.stretch == 0) return 0;
   auto stretch = flow->stretches.find(index / record.stretch);
@@ -101,7 +116,11 @@
   // creation and these tasks are read again as changes, in order: until then this key is not known
   // at all. (Its stamp was, so the change was taken for an old one, and all tasks of that job were
   // placed twice.)
-  if (c.value && c.key.starts_with(keys::kTasks) && !knowsJobOf(c.key)) return;
+  if (c.value && c.key.starts_with(keys::kTasks) && !knowsJobOf(c.key, keys::kTasks)) return;
+  if (c.value && c.key.starts_with(keys::kPart) && !knowsJobOf(c.key, keys::kPart)) {
+    orphanParts_[c.key] = c.stamp;
+    return;
+  }
   if (c.value) {
     stamps_[c.key] = c.stamp;
   } else {
@@ -114,6 +133,8 @@
     setJob(JobId{rest(keys::kJob)}, value, c.stamp);
   } else if (c.key.starts_with(keys::kTasks)) {
     setTasks(rest(keys::kTasks), value, c.stamp);
+  } else if (c.key.starts_with(keys::kPart)) {
+    setPart(c.key, value, c.stamp);
   } else if (c.key.starts_with(keys::kRental)) {
     setRental(RentalId{rest(keys::kRental)}, value);
   } else if (c.key.starts_with(keys::kKey)) {
@@ -135,8 +156,8 @@
   }
 }
 
-bool Replica::knowsJobOf(const std::string& tasksKey) const {
-  auto rest = tasksKey.substr(keys::kTasks.size());
+bool Replica::knowsJobOf(const std::string& key, const std::string& prefix) const {
+  auto rest = key.substr(prefix.size());
   return jobs_.contains(JobId{rest.substr(0, rest.find('/'))});
 }
 
@@ -145,6 +166,12 @@
     // Users' jobs are never dropped; a flow's are once all of their tasks are off every machine.
     auto it = jobs_.find(id);
     if (it == jobs_.end() || !it->second.record.flow || !it->second.placed.empty()) return;
+    if (it->second.parts) {
+      for (const auto& [first, last] : *it->second.parts) {
+        std::string key = keys::part(id, first, last);
+        orphanParts_[key] = stampOf(key);
+      }
+    }
     flows_.dropJob(it->second.record.flow->flow, id);
     live_.erase(id);
     jobs_.erase(it);
@@ -173,20 +200,26 @@
   settle(job, id);
 }
 
-TasksRecord Replica::stretchOf(const JobState& job, std::uint32_t stretch) const {
+TasksRecord Replica::tasksOf(const JobState& job, std::uint32_t first, std::uint32_t last,
+                             bool whole) const {
   TasksRecord r;
+  std::uint32_t stretch = first / job.record.stretch;
   if (auto bits = job.finished.find(stretch); bits != job.finished.end()) {
-    r.finished = bits->second;
-  }
-  auto first = job.placed.lower_bound(stretch * job.record.stretch);
-  auto last = job.placed.lower_bound((stretch + 1) * job.record.stretch);
-  r.placed.insert(first, last);
-  if (job.flow) {
-    if (auto s = job.flow->stretches.find(stretch); s != job.flow->stretches.end()) {
-      r.failures = s->second.failures;
-      r.use = s->second.use;
+    if (whole) r.finished = bits->second;
+    for (std::uint32_t i = first; i < last && !whole; ++i) {
+      if (bits->second.test(i % job.record.stretch)) r.finished.set(i - first);
     }
   }
+  r.placed.insert(job.placed.lower_bound(first), job.placed.lower_bound(last));
+  if (!job.flow) return r;
+  if (auto s = job.flow->stretches.find(stretch); s != job.flow->stretches.end()) {
+    const auto& failures = s->second.failures;
+    r.failures.insert(failures.lower_bound(first), failures.lower_bound(last));
+    if (whole) r.use = s->second.use;
+  }
+  if (auto part = job.flow->parts.find(first); !whole && part != job.flow->parts.end()) {
+    r.use = part->second;
+  }
   return r;
 }
 
@@ -233,29 +266,83 @@
     return;
   }
   JobState& job = it->second;
-  auto first = job.placed.lower_bound(stretch * job.record.stretch);
-  auto last = job.placed.lower_bound((stretch + 1) * job.record.stretch);
-  std::map<std::uint32_t, Placed> old(first, last);
-  for (const auto& [index, placed] : old) {
-    auto now = record->placed.find(index);
-    if (now != record->placed.end() && now->second == placed) continue;
+  std::uint32_t first = stretch * job.record.stretch;
+  if (value) {
+    takeIn(id, job, first, first + job.record.stretch, true, std::move(*record));
+    if (job.record.owner) memberJobs_.note(job.record.owner->owner, id, stamp);
+  } else {
+    for (const auto& [index, placed] :
+         tasksOf(job, first, first + job.record.stretch, true).placed) {
+      if (job.partOf(index)) continue;
+      job.placed.erase(index);
+      takeOff(id, index, placed);
+    }
+  }
+  settle(job, id);
+}
+
+void Replica::takeIn(const JobId& id, JobState& job, std::uint32_t first, std::uint32_t last,
+                     bool whole, TasksRecord record) {
+  const std::uint32_t stretch = first / job.record.stretch;
+  auto told = [&](std::uint32_t index) { return !whole || !job.partOf(index); };
+  for (const auto& [index, placed] : tasksOf(job, first, last, whole).placed) {
+    auto now = record.placed.find(index);
+    if (!told(index) || (now != record.placed.end() && now->second == placed)) continue;
     job.placed.erase(index);
     takeOff(id, index, placed);
   }
-  for (const auto& [index, placed] : record->placed) {
-    auto was = old.find(index);
-    if (was == old.end() || was->second != placed) put(id, job, index, placed);
+  for (const auto& [index, placed] : record.placed) {
+    auto was = job.placed.find(index);
+    if (told(index) && (was == job.placed.end() || was->second != placed)) {
+      put(id, job, index, placed);
+    }
   }
-  if (value) {
-    TaskBits& bits = job.finished[stretch];
-    job.finishedCount += record->finished.count() - bits.count();
-    bits = std::move(record->finished);
-    if (job.flow) {
-      job.flow->stretches[stretch] = {std::move(record->failures), record->use};
-      flows_.touch(job.record.flow->flow, id);
+  TaskBits& bits = job.finished[stretch];
+  const std::uint32_t before = bits.count();
+  if (whole && !job.parts) {
+    bits = std::move(record.finished);
+  } else {
+    for (std::uint32_t i = first; i < last; ++i) {
+      if (told(i)) bits.set(i % job.record.stretch, record.finished.test(i - first));
     }
-    if (job.record.owner) memberJobs_.note(job.record.owner->owner, id, stamp);
   }
+  job.finishedCount += bits.count() - before;
+  if (!job.flow) return;
+  FlowJobState::Stretch& s = job.flow->stretches[stretch];
+  std::erase_if(s.failures,
+                [&](const auto& f) { return f.first >= first && f.first < last && told(f.first); });
+  for (const auto& [index, count] : record.failures) {
+    if (told(index)) s.failures[index] = count;
+  }
+  (whole ? s.use : job.flow->parts[first]) = record.use;
+  flows_.touch(job.record.flow->flow, id);
+}
+
+void Replica::setPart(const std::string& key, const Json* value, Revision stamp) {
+  auto rest = key.substr(keys::kPart.size());
+  auto slash = rest.find('/');
+  std::uint32_t first = 0, last = 0;
+  if (slash == std::string::npos) return;
+  const char* end = rest.data() + rest.size();
+  auto [at, error] = std::from_chars(rest.data() + slash + 1, end, first);
+  if (error != std::errc{} || at == end || *at != '-') return;
+  if (std::from_chars(at + 1, end, last).ec != std::errc{}) return;
+  JobId id{rest.substr(0, slash)};
+  auto it = jobs_.find(id);
+  orphanParts_.erase(key);
+  // Dropped only after its job.
+  if (it == jobs_.end() || !value) return;
+  JobState& job = it->second;
+  auto record = tasksRecordFrom(*value);
+  const std::uint32_t stretch = job.record.stretch;
+  if (!record || stretch == 0 || first >= last || first / stretch != (last - 1) / stretch) {
+    logError("part of a job's tasks can't be read", "key", key);
+    return;
+  }
+  if (!job.parts) job.parts = std::make_unique<std::map<std::uint32_t, std::uint32_t>>();
+  (*job.parts)[first] = last;
+  takeIn(id, job, first, last, false, std::move(*record));
+  if (job.record.owner) memberJobs_.note(job.record.owner->owner, id, stamp);
   settle(job, id);
 }
 
--- a/src/store/replica.hpp
+++ b/src/store/replica.hpp
@@ -22,6 +22,8 @@
     Use use;
   };
   std::map<std::uint32_t, Stretch> stretches;
+  std::map<std::uint32_t, Use> parts;  // what attempts of parts used, by their first task
+  Use use() const;
 };
 
 struct JobState {
@@ -34,9 +36,13 @@
   std::uint32_t finishedCount{};
   std::map<std::uint32_t, Placed> placed;  // by task
   std::unique_ptr<FlowJobState> flow;      // null for most jobs
+  // Parts of stretches on record: first task, and one past the last. Null for most jobs.
+  std::unique_ptr<std::map<std::uint32_t, std::uint32_t>> parts;
 
   bool active() const { return record.phase == JobPhase::active; }
   bool isFinished(std::uint32_t index) const;
+  // The part that this task is in, if it is in one.
+  std::optional<std::pair<std::uint32_t, std::uint32_t>> partOf(std::uint32_t index) const;
   // Of flows' jobs: failed more often than its rule is tried again.
   bool isGivenUp(std::uint32_t index) const;
   bool isDropped(std::uint32_t index) const { return record.flow && record.flow->drops(index); }
@@ -94,8 +100,12 @@
   const std::map<MachineId, MachineState>& machines() const { return machines_; }
   const MachineState* machine(const MachineId& id) const;
   const std::map<RentalId, RentalRecord>& rentals() const { return rentals_; }
-  // One stretch of a job, put together from what is known of it.
-  TasksRecord stretchOf(const JobState& job, std::uint32_t stretch) const;
+  // These tasks of one stretch of a job, put together from what is known of them; `whole`: with
+  // what is known of the stretch besides, else of the part that begins so.
+  TasksRecord tasksOf(const JobState& job, std::uint32_t first, std::uint32_t last,
+                      bool whole) const;
+  // Parts of jobs that are on record no more: by key, with their stamps.
+  const std::map<std::string, Revision>& orphanParts() const { return orphanParts_; }
   const std::optional<LeaderRecord>& leader() const { return leader_; }
   Token leaderToken() const { return Token{stampOf(keys::kLeader).value}; }
   const std::optional<Json>& catalogue() const { return catalogue_; }
@@ -114,9 +124,13 @@
   const std::map<JobId, JobState*>& live() const { return live_; }
 
  private:
-  bool knowsJobOf(const std::string& tasksKey) const;
+  bool knowsJobOf(const std::string& key, const std::string& prefix) const;
   void setJob(const JobId& id, const Json* value, Revision stamp);
   void setTasks(const std::string& rest, const Json* value, Revision stamp);
+  void setPart(const std::string& key, const Json* value, Revision stamp);
+  // What a record says of these tasks; of a stretch, but for those that are in parts.
+  void takeIn(const JobId& id, JobState& job, std::uint32_t first, std::uint32_t last, bool whole,
+              TasksRecord record);
   void setRental(const RentalId& id, const Json* value);
   void put(const JobId& id, JobState& job, std::uint32_t index, const Placed& placed);
   void takeOff(const JobId& id, std::uint32_t index, const Placed& placed);
@@ -132,6 +146,7 @@
   std::unordered_map<std::string, Revision> drops_;  // newer than the cursor
   std::map<JobId, JobState> jobs_;
   std::map<JobId, JobState*> live_;
+  std::map<std::string, Revision> orphanParts_;
   std::map<MachineId, MachineState> machines_;
   std::map<RentalId, RentalRecord> rentals_;
   std::optional<LeaderRecord> leader_;
--- a/tests/scenario_expect.hpp
+++ b/tests/scenario_expect.hpp
@@ -81,6 +81,9 @@
     } else if (what == "versions") {  // expect versions all|none N: know that all tell format N
       auto format = static_cast<unsigned>(std::stoul(words.at(3)));
       EXPECT_TRUE(words.at(2) == "all" ? w.allKnowFormat(format) : w.noneKnowsFormat(format));
+    } else if (what == "toolarge") {  // expect toolarge most N: transactions that got 400 for size
+      EXPECT_LE(w.state.tooLarge, std::stoul(words.at(3)));
+      std::cout << "429: " << w.state.tooMany << ", 400: " << w.state.tooLarge << "\n";
     } else if (what == "changesof") {  // expect changesof KIND most N: committed, of such keys
       EXPECT_LE(w.changesByKind[words.at(2)], std::stoul(words.at(4)));
     } else if (what == "leader") {
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -52,6 +52,12 @@
         job.id = id;
         w.clock.in(at, [&w, job] { w.submit(job); });
       }
+    } else if (verb == "state_limits") {  // state_limits VALUEKB OPS WRITES: from now on
+      w.limitState(std::stoi(words.at(1)), std::stoi(words.at(2)), std::stod(words.at(3)));
+    } else if (verb == "upgrade") {  // upgrade EVERY: each in turn ends and is the new version
+      for (int i = 0; i < settings_.nodes; ++i) {
+        w.clock.in(i * ms(words.at(1)), [&w, i] { w.upgrade(i, 4000); });
+      }
     } else if (verb == "alone") {  // alone NODE MODE SECONDS: neither state service nor controllers
       alone(words.at(1), words.at(2), ms(words.at(3)));
     } else if (verb == "calendar") {  // calendar none|hours: as tests/measure uses it
--- a/tests/scenario_troubles.hpp
+++ b/tests/scenario_troubles.hpp
@@ -116,6 +116,14 @@
         settings_.valueKb = static_cast<int>(v);
       else if (key == "ops")
         settings_.txnOps = static_cast<int>(v);
+      else if (key == "nextvaluekb")
+        settings_.nextValueKb = static_cast<int>(v);
+      else if (key == "nextops")
+        settings_.nextOps = static_cast<int>(v);
+      else if (key == "nextwrites")
+        settings_.nextWrites = v;
+      else if (key == "old")  // controllers are of the version before until `upgrade`
+        settings_.old = v > 0;
       else if (key == "flows")
         settings_.flows = v > 0;
       else if (key == "cache")
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -35,6 +35,17 @@
       region(regionSettings(), clock, network, random, *this) {
   state.valueBytes = static_cast<std::size_t>(settings.valueKb) * 1024;
   state.transactionOps = static_cast<std::size_t>(settings.txnOps);
+  state.refuses = [this](const Json& writes) {
+    // A version that tells no format.
+    return std::any_of(writes.begin(), writes.end(), [this](const Json& write) {
+      auto key = write.value("set", std::string());
+      if (!key.starts_with(keys::kVersion)) return false;
+      for (std::size_t i = 0; i < nodes_.size(); ++i) {
+        if (!nodes_[i].isNew && key == keys::version(nodes_[i].platform.member)) return true;
+      }
+      return false;
+    });
+  };
   state.onCommit = [this](const Json& writes) {
     for (const auto& write : writes) {
       auto key = write.contains("set") ? write["set"].get<std::string>()
@@ -88,12 +99,13 @@
     p.cancelWithin = fromSeconds(settings.cancelS);
     p.stateRequestsPerS = 150;
     p.stateWritesPerS = settings.writesPerS;
-    p.valueBytes = state.valueBytes;
+    p.valueBytes = p.valueBytesNow = state.valueBytes;
     p.transactionOps = state.transactionOps;
     p.cloudRequestsPerS = 6;
     p.listLag = fromSeconds(settings.listLagS);
     p.ramMb = 40;
     p.maxConnections = static_cast<std::size_t>(settings.maxConnections);
+    nodes_[static_cast<std::size_t>(i)].isNew = !settings.old;
     OperatorSettings& o = nodes_[static_cast<std::size_t>(i)].operatorSettings;
     o.flows = settings.flows;
     o.members.enabled = settings.members;
@@ -134,6 +146,15 @@
   // Clocks run up to 0.05% fast.
   double rate = 1.0 + 0.0005 * i / std::max(1, settings.nodes - 1);
   std::string host = "node" + std::to_string(i);
+  if (n.isNew) {
+    Platform& p = n.platform;
+    auto bytes = static_cast<std::size_t>(settings.nextValueKb) * 1024;
+    auto ops = static_cast<std::size_t>(settings.nextOps);
+    if (bytes > 0) p.valueBytes = std::min(p.valueBytes, bytes);
+    if (ops > 0) p.transactionOps = std::min(p.transactionOps, ops);
+    if (settings.nextWrites > 0)
+      p.stateWritesPerS = std::min(p.stateWritesPerS, settings.nextWrites);
+  }
   n.runtime = std::make_unique<HostRuntime>(clock, network, host, rate);
   n.runtime->clockOff = n.clockOff;
   n.planner = std::make_unique<InlinePlanRunner>(*n.runtime);
@@ -187,6 +208,17 @@
   });
 }
 
+void World::upgrade(int i, std::int64_t downMs) {
+  nodes_[static_cast<std::size_t>(i)].isNew = true;
+  crash(i, downMs);
+}
+
+void World::limitState(int valueKb, int ops, double writesPerS) {
+  state.valueBytes = static_cast<std::size_t>(valueKb) * 1024;
+  state.transactionOps = static_cast<std::size_t>(ops);
+  state.writesPerS = writesPerS;
+}
+
 void World::stepClock(int i, std::int64_t ms) {
   Node& n = nodes_[static_cast<std::size_t>(i)];
   n.clockOff += ms;
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -27,6 +27,12 @@
   std::uint64_t seed = 1;
   double writesPerS = 25;
   int valueKb = 8, txnOps = 8;
+  // `settings.state.next`; 0: not there.
+  int nextValueKb = 0, nextOps = 0;
+  double nextWrites = 0;
+  // Controllers know nothing of `next` and tell no format until they are upgraded: what they write
+  // is as the version in production writes it.
+  bool old = false;
   bool flows = true;
   int maxConnections = 600;
   bool cache = false;     // machines keep the images that they fetched
@@ -83,6 +89,10 @@
   bool noneKnowsFormat(unsigned format) const;
   // A node's time of day is off by so much from now on, in each of its lives.
   void stepClock(int node, std::int64_t ms);
+  // The process ends and comes back as the new version, in each of its lives from then on.
+  void upgrade(int node, std::int64_t downMs);
+  // From now on the state service has these limits; 0: any number of changes.
+  void limitState(int valueKb, int ops, double writesPerS);
   void freeze(int node, std::int64_t forMs);  // stands still, its clocks run on
   int leaderNode() const;                     // -1: none
   // From now on the fewest replicas of this service that ran at a time are remembered.
@@ -178,6 +188,7 @@
     std::unique_ptr<Controller> controller;
     int lives = 0;
     std::int64_t clockOff = 0;
+    bool isNew = true;
   };
   struct UserJob {
     JobPlan plan;
