--- a/region/model/state_service.hpp
+++ b/region/model/state_service.hpp
@@ -15,12 +15,12 @@
   void refuse(const std::string& host, std::int64_t ms) { refused_[host] = clock_.now() + ms; }
   std::size_t transactionOps = 8;
   std::size_t valueBytes = 8192;
-  std::size_t mostRows = 1000;  // of one page
-  // Puts and deletes that it takes, failed transactions' included, with a second's worth at once;
-  // 0: any number.
-  double writesPerS = 0;
-  std::size_t changesRefused = 0;  // above that rate
-  std::size_t changes_made = 0;    // puts and deletes, failed transactions' included
+  std::size_t mostRows = 1000;            // of one page
+  double writesPerS = 0;                  // puts and deletes; 0: any number
+  std::size_t tooLarge = 0, tooMany = 0;  // transactions that got 400 for their size, or 429
+  // Transactions that get 503, as a checker decides; may be null.
+  std::function<bool(const Json& writes)> refuses;
+  std::size_t changes_made = 0;  // puts and deletes, failed transactions' included
   std::size_t reads_made = 0;
   std::size_t bytes_written = 0;  // of values, in text form
   // After a transaction was carried out, before its answer is sent.
@@ -54,9 +54,9 @@
   Response commit(const Json& body);
   Response list(const std::map<std::string, std::string>& query);
   Response changes(const std::map<std::string, std::string>& query);
-  bool withinRate(double writes);
   void expire();
   void drop(const std::string& key);
+  bool overRate(std::size_t changes);
 
   Clock& clock_;
   std::map<std::string, Entry> data_;
@@ -64,8 +64,8 @@
   std::vector<Change> log_;
   std::uint64_t epoch_ = 0, nextLease_ = 1;
   std::int64_t outageUntil_ = 0;
-  double room_ = 0;  // for changes, of a second's worth
-  std::int64_t roomAt_ = -1;
+  double room_ = 0;  // changes that may come now
+  std::int64_t roomAt_ = 0;
   std::map<std::string, std::int64_t> refused_;
 };
 
