--- a/src/placement/task_duty.cpp
+++ b/src/placement/task_duty.cpp
@@ -74,7 +74,8 @@
   }
   for (const auto& id : stale) facts_.forgetFact(id, *leadership_.replica.job(id.task.job));
   std::sort(urgent.begin(), urgent.end());
-  for (const auto& [since, key] : urgent) {
+  for (const auto& entry : urgent) {
+    const TaskFacts::StretchKey& key = entry.second;
     if (!facts_.due().contains(key)) continue;
     const auto& facts = facts_.due().at(key).facts;
     bool all = std::all_of(facts.begin(), facts.end(), [&](const auto& fact) {
