Fleet: a new leader logs its newest sign of life of each zone, and what gave a machine up

Cause: whether a silent machine was given up late because nothing older than the election was known, because a record or a peer's acknowledgement was used, or because another timeout applied, could not be read off the log. Change: each zone's newest sign of life with its source once the initial heartbeat round is complete; with each machine given up its silence, the timeout, what set it and the source; a histogram machine_silence_seconds. No decision changes.

--- a/src/app/controller_leadership.cpp
+++ b/src/app/controller_leadership.cpp
@@ -105,6 +105,9 @@
   context.effectivePolicy = &policyReplica_;
   context.allMembersRead = [this](unsigned format) { return versions_.allAtLeast(format); };
   context.timeOfDay = [this] { return timeOfDay(); };
+  if (metrics_) {
+    context.onGivenUpForSilence = [this](Duration silence) { metrics_->machineGivenUp(silence); };
+  }
   leader_ = std::make_unique<Leader>(context, planner_, policyReplica_, [this](const ZoneId& zone) {
     return std::any_of(platform_.peers.begin(), platform_.peers.end(), [&](const Peer& p) {
       return p.zone == zone && peerMembership_.mayBeAlive(p.member);
--- a/src/app/leader.cpp
+++ b/src/app/leader.cpp
@@ -43,6 +43,7 @@
                                static_cast<double>(context_.platform.transactionOps))) {
   logInfo("became leader", "token", context_.token);
   connectLoops();
+  fleet_.onGivenUpForSilence = context_.onGivenUpForSilence;
   if (context_.replica.catalogue()) {
     context_.catalogue = catalogueFrom(*context_.replica.catalogue());
   }
@@ -116,6 +117,7 @@
     context_.initialRoundOver = true;
     forecast_.load();
     logInfo("initial heartbeat round complete", "machines", fleet_.machines().size());
+    fleet_.logSignsOfLife(now);
   }
   if (++timerCount_ % kTimersPerFailureDetection == 0) {
     fleet_.adoptRecords(now, context_.runtime.wallMillis());
--- a/src/fleet/failure_detector.cpp
+++ b/src/fleet/failure_detector.cpp
@@ -13,12 +13,44 @@
 constexpr Duration kWorkerNextNodeDelay{1000};
 constexpr double kBootTimeoutFactor = 2.5;  // times the type's boot time
 
-TerminationVerdict lost(std::string reason) { return {MachineLoss::lost, std::move(reason)}; }
+TerminationVerdict lost(std::string reason) {
+  return {MachineLoss::lost, std::move(reason), std::nullopt};
+}
 
-TerminationVerdict terminated(std::string reason) { return {MachineLoss::none, std::move(reason)}; }
+TerminationVerdict terminated(std::string reason) {
+  return {MachineLoss::none, std::move(reason), std::nullopt};
+}
 
 }  // namespace
 
+const char* toString(SignOfLifeSource source) {
+  switch (source) {
+    case SignOfLifeSource::ownReport:
+      return "own_report";
+    case SignOfLifeSource::peerAcknowledgement:
+      return "peer_acknowledgement";
+    case SignOfLifeSource::record:
+      return "record";
+    case SignOfLifeSource::leaderStart:
+      return "leader_start";
+  }
+  return "";
+}
+
+const char* toString(SilenceLimit limit) {
+  switch (limit) {
+    case SilenceLimit::failover:
+      return "failover";
+    case SilenceLimit::cutOffZone:
+      return "cut_off_zone";
+    case SilenceLimit::blindLeader:
+      return "blind_leader";
+    case SilenceLimit::failedProbes:
+      return "failed_probes";
+  }
+  return "";
+}
+
 bool ReachabilityCounts::blind() const {
   constexpr int kMany = 4;
   constexpr int kTenth = 10;
@@ -132,7 +164,7 @@
   const double bootTimeoutS = type ? kBootTimeoutFactor * toSeconds(type->boot) + 5 : 0;
   if (type && machine.listed != Listed::running &&
       toSeconds(now_ - machine.rentedAt) > bootTimeoutS && now_ - leaderSince_ > failoverTime()) {
-    return TerminationVerdict{MachineLoss::neverBooted, "did not boot"};
+    return TerminationVerdict{MachineLoss::neverBooted, "did not boot", std::nullopt};
   }
   // The time counts from when the machine was known to run: a list may come before the first
   // report, and the silence of a machine that boots is no sign of anything.
@@ -146,16 +178,19 @@
 
 // A silent machine is dead or out of reach. While others of its zone report it is most likely dead.
 std::optional<TerminationVerdict> FailureDetector::inspectSilence(const Machine& machine) const {
-  Duration timeout = silenceTimeout(machine);
+  const SignOfLife newest = fleet_.signOfLife(machine);
+  Timeout timeout = silenceTimeout(machine);
   // Nothing may be known of it because this leader is new and its worker still looks for a node.
-  const bool unknown = !machine.hasReported() && fleet_.lastSignOfLife(machine) >= leaderSince_;
-  if (unknown) timeout += failoverTime() / 2;
+  const bool unknown = !machine.hasReported() && newest.at >= leaderSince_;
+  if (unknown) timeout.duration += failoverTime() / 2;
   if (!machine.hasReported() && !unknown && now_ - leaderSince_ < failoverTime()) {
     return std::nullopt;
   }
   const Duration silence = silenceOf(machine);
-  if (silence <= timeout) return std::nullopt;
-  return lost("silent for " + std::to_string(silence.count()) + " ms");
+  if (silence <= timeout.duration) return std::nullopt;
+  TerminationVerdict verdict = lost("silent for " + std::to_string(silence.count()) + " ms");
+  verdict.silence = SilenceEvidence{newest, silence, timeout.duration, timeout.limit};
+  return verdict;
 }
 
 bool FailureDetector::mayBeCutOff(const Machine& machine) const {
@@ -170,19 +205,22 @@
   return std::min(silence, now_ - zone->second);
 }
 
-Duration FailureDetector::silenceTimeout(const Machine& machine) const {
-  Duration timeout = failoverTime();
+FailureDetector::Timeout FailureDetector::silenceTimeout(const Machine& machine) const {
+  Timeout timeout{failoverTime(), SilenceLimit::failover};
   if (!workersReachable_ && platform_.nodes() > 2) {
-    timeout +=
+    timeout.duration +=
         static_cast<int>(platform_.nodes() - 2) * (kWorkerReportTimeout + kWorkerNextNodeDelay);
   }
-  if (mayBeCutOff(machine)) timeout = std::max(timeout, cutOffTimeout(machine));
+  if (mayBeCutOff(machine) && cutOffTimeout(machine) > timeout.duration) {
+    timeout = {cutOffTimeout(machine),
+               counts_.blind() ? SilenceLimit::blindLeader : SilenceLimit::cutOffZone};
+  }
   // A worker that lives answers a direct probe, whichever node it reports to.
   constexpr int kFailedProbesForProof = 2;
   if (machine.hasReported() && fleet_.isOverdue(machine, now_) &&
       !unreachableZones_.contains(machine.zone) && counts_.reporting > 0 &&
-      machine.failedProbes >= kFailedProbesForProof) {
-    timeout = std::min(timeout, fleet_.reportDue());
+      machine.failedProbes >= kFailedProbesForProof && fleet_.reportDue() < timeout.duration) {
+    timeout = {fleet_.reportDue(), SilenceLimit::failedProbes};
   }
   return timeout;
 }
--- a/src/fleet/failure_detector.hpp
+++ b/src/fleet/failure_detector.hpp
@@ -21,10 +21,33 @@
 /// How a terminated machine enters the statistics of losses.
 enum class MachineLoss { none, lost, neverBooted };
 
+/// From where a leader knows the newest sign of life of a machine.
+enum class SignOfLifeSource { ownReport, peerAcknowledgement, record, leaderStart };
+const char* toString(SignOfLifeSource source);
+
+/// The newest sign of life that a leader knows of a machine.
+struct SignOfLife {
+  Instant at;
+  SignOfLifeSource source = SignOfLifeSource::leaderStart;
+};
+
+/// What sets how long a machine may be silent.
+enum class SilenceLimit { failover, cutOffZone, blindLeader, failedProbes };
+const char* toString(SilenceLimit limit);
+
+/// Why silence was taken for a loss.
+struct SilenceEvidence {
+  SignOfLife newest;
+  Duration silence{};
+  Duration timeout{};
+  SilenceLimit limit = SilenceLimit::failover;
+};
+
 /// The decision to terminate one machine.
 struct TerminationVerdict {
   MachineLoss loss = MachineLoss::none;
   std::string reason;
+  std::optional<SilenceEvidence> silence = std::nullopt;  ///< set if silence alone decided
 };
 
 /// How many machines that should report do so in time.
@@ -74,7 +97,11 @@
   std::optional<TerminationVerdict> inspectSilence(const Machine& machine) const;
   bool mayBeCutOff(const Machine& machine) const;
   Duration silenceOf(const Machine& machine) const;
-  Duration silenceTimeout(const Machine& machine) const;
+  struct Timeout {
+    Duration duration{};
+    SilenceLimit limit = SilenceLimit::failover;
+  };
+  Timeout silenceTimeout(const Machine& machine) const;
   Duration cutOffTimeout(const Machine& machine) const;
   Duration failoverTime() const;
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -279,12 +279,35 @@
 
 // For a machine that this leader has no report of, the acknowledgement of a peer counts, else what
 // an earlier leader recorded of its zone; else nothing is known before this leadership.
-Instant Fleet::lastSignOfLife(const Machine& machine) const {
-  if (machine.hasReported()) return machine.session.lastReportAt;
-  if (machine.ackedByPeerAt) return *machine.ackedByPeerAt;
-  if (auto zone = suspectedSince_.find(machine.zone); zone != suspectedSince_.end())
-    return zone->second;
-  return std::max(leaderSince_, machine.firstSeen);
+SignOfLife Fleet::signOfLife(const Machine& machine) const {
+  if (machine.hasReported()) return {machine.session.lastReportAt, SignOfLifeSource::ownReport};
+  if (machine.ackedByPeerAt) {
+    return {*machine.ackedByPeerAt, SignOfLifeSource::peerAcknowledgement};
+  }
+  if (auto zone = suspectedSince_.find(machine.zone); zone != suspectedSince_.end()) {
+    return {zone->second, SignOfLifeSource::record};
+  }
+  return {std::max(leaderSince_, machine.firstSeen), SignOfLifeSource::leaderStart};
+}
+
+void Fleet::logSignsOfLife(Instant now) const {
+  struct ZoneSummary {
+    SignOfLife newest;
+    int machines = 0;
+    int reporting = 0;
+  };
+  std::map<ZoneId, ZoneSummary> zones;
+  for (const auto& [id, machine] : machines_) {
+    if (machine.terminationRequested) continue;
+    const SignOfLife sign = signOfLife(machine);
+    ZoneSummary& zone = zones[machine.zone];
+    if (zone.machines++ == 0 || sign.at > zone.newest.at) zone.newest = sign;
+    if (machine.hasReported()) ++zone.reporting;
+  }
+  for (const auto& [id, zone] : zones) {
+    logInfo("newest sign of life of zone", "zone", id, "age_ms", now - zone.newest.at, "source",
+            toString(zone.newest.source), "machines", zone.machines, "reporting", zone.reporting);
+  }
 }
 
 void Fleet::detectFailures(Instant now, const Catalogue* catalogue,
@@ -300,12 +323,23 @@
     if (machine.terminationRequested) continue;
     if (isUnrecorded(machine)) unrecorded_.insert(id);
     if (auto verdict = failureDetector_.inspect(machine)) {
-      countLoss(verdict->loss);
-      requestTermination(machine, verdict->reason);
+      giveUp(machine, *verdict);
     }
   }
 }
 
+void Fleet::giveUp(Machine& machine, const TerminationVerdict& verdict) {
+  countLoss(verdict.loss);
+  if (verdict.silence) {
+    const SilenceEvidence& evidence = *verdict.silence;
+    logInfo("machine given up", "machine", machine.id, "zone", machine.zone, "silence_ms",
+            evidence.silence, "timeout_ms", evidence.timeout, "limit", toString(evidence.limit),
+            "source", toString(evidence.newest.source));
+    if (onGivenUpForSilence) onGivenUpForSilence(evidence.silence);
+  }
+  requestTermination(machine, verdict.reason);
+}
+
 bool Fleet::isUnrecorded(const Machine& machine) const {
   const auto* record = replica_.machine(machine.id);
   return machine.hasReported() && (!record || record->rental.empty());
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -107,8 +107,14 @@
   /// Whether a machine that this leader has no report of may have tasks: its worker may report to
   /// a controller that can do nothing for it, so that it is worth a direct probe, too.
   bool hasUnconfirmedTasks(const Machine& machine, Instant now) const;
-  /// The newest sign of life that is known of a machine.
-  Instant lastSignOfLife(const Machine& machine) const;
+  /// The newest sign of life that is known of a machine, and from where.
+  SignOfLife signOfLife(const Machine& machine) const;
+  Instant lastSignOfLife(const Machine& machine) const { return signOfLife(machine).at; }
+  /// Logs, for each zone, the newest sign of life of its machines and from where it is known. Call
+  /// it once a new leader's initial heartbeat round is complete.
+  void logSignsOfLife(Instant now) const;
+  /// Called with the silence of each machine that is given up for it.
+  std::function<void(Duration silence)> onGivenUpForSilence;
   /// When the newest report of any worker arrived.
   Instant lastReportOfAny() const { return lastReportOfAny_; }
   /// Whether new work may be placed on the machine.
@@ -147,6 +153,7 @@
   void updateFirstSeenRunning(Machine& machine, Instant now) const;
   void updateImageCache(Machine& machine) const;
   bool isUnrecorded(const Machine& machine) const;
+  void giveUp(Machine& machine, const TerminationVerdict& verdict);
   void countLoss(MachineLoss loss);
 
   const Platform& platform_;
--- a/src/leadership/leader_context.hpp
+++ b/src/leadership/leader_context.hpp
@@ -40,6 +40,8 @@
   std::function<bool(unsigned)> allMembersRead{};
   /// The time of day that the controllers agree on, in milliseconds since 1970.
   std::function<std::int64_t()> timeOfDay{};
+  /// Called with the silence of each machine that is given up for it; may be null.
+  std::function<void(Duration)> onGivenUpForSilence{};
   std::function<void(std::optional<Commit>)>
       finishStep{};  ///< ends an asynchronous step, with or without a commit
 
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -10,6 +10,8 @@
 namespace {
 const prometheus::Histogram::BucketBoundaries kSeconds{0.002, 0.005, 0.01, 0.02, 0.05, 0.1,
                                                        0.2,   0.5,   1,    2,    5,    10};
+const prometheus::Histogram::BucketBoundaries kSilenceSeconds{2,  4,  6,  8,  10, 12, 15,
+                                                              20, 25, 30, 40, 60, 90, 120};
 template <class T>
 prometheus::Family<T>& family(prometheus::Registry& registry, const std::string& name,
                               const std::string& help) {
@@ -33,6 +35,11 @@
   prometheus::Histogram& wait = waits.Add({}, kSeconds);
   prometheus::Family<prometheus::Counter>& commits = family<prometheus::Counter>(
       registry, "commits_total", "transactions sent to the state service, by outcome and role");
+  prometheus::Histogram& silence =
+      family<prometheus::Histogram>(
+          registry, "machine_silence_seconds",
+          "from a machine's newest known sign of life to the request of its release")
+          .Add({}, kSilenceSeconds);
   prometheus::Family<prometheus::Gauge>& state =
       family<prometheus::Gauge>(registry, "state", "what this controller holds or sees now");
 };
@@ -55,6 +62,8 @@
   f_->commits.Add({{"outcome", outcome}, {"role", leading ? "leader" : "node"}}).Increment();
 }
 
+void Metrics::machineGivenUp(Duration silence) { f_->silence.Observe(toSeconds(silence)); }
+
 std::string Metrics::text() {
   if (gauges) {
     MetricGauges g = gauges();
--- a/src/metrics/metrics.hpp
+++ b/src/metrics/metrics.hpp
@@ -33,6 +33,10 @@
   /// A transaction of this node: "applied", "conflict", "refused", "unknown", ...
   void committed(const char* outcome, bool leading);
 
+  /// The leader requested a machine's release after this silence, counted from the newest
+  /// acknowledged heartbeat that it knows of.
+  void machineGivenUp(Duration silence);
+
   std::function<MetricGauges()> gauges;
   std::string text();
 
