--- a/simulator/model/simulated_region.cpp
+++ b/simulator/model/simulated_region.cpp
@@ -38,6 +38,12 @@
   return it != hosts_.end() && it->second.goneAt < 0;
 }
 
+std::optional<std::int64_t> SimulatedRegion::releasedAt(const std::string& host) const {
+  auto it = hosts_.find(host);
+  if (it == hosts_.end() || it->second.goneAt < 0) return std::nullopt;
+  return it->second.goneAt;
+}
+
 bool SimulatedRegion::listedAsFailed(const std::string& host, std::int64_t at) const {
   auto worker = workers.find(host);
   return settings.failedAfterS > 0 && worker != workers.end() && worker->second->gone &&
--- a/simulator/model/simulated_region.hpp
+++ b/simulator/model/simulated_region.hpp
@@ -122,6 +122,8 @@
   std::vector<std::string> machinesWithTasks() const;
   std::size_t machineCount(bool spot) const;
   bool isRented(const std::string& host) const;
+  /// When the machine was given back or taken away, in milliseconds of the region's clock.
+  std::optional<std::int64_t> releasedAt(const std::string& host) const;
   std::vector<std::string> rentedMachines() const;
   void setCapacity(bool spot, int perZone);
   /// Rented so far, all machines together.
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -90,6 +90,7 @@
       {"tell", &Scenario::printSummary},
       {"traffic", &Scenario::printTraffic},
       {"mark", &Scenario::markController},
+      {"markzone", &Scenario::markMachinesOfZone},
       {"watch", &Scenario::watchJob},
       {"expect", &Scenario::expect},
   };
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -81,6 +81,7 @@
   void printSummary(const Line& line);
   void printTraffic(const Line& line);
   void markController(const Line& line);
+  void markMachinesOfZone(const Line& line);
   void watchJob(const Line& line);
 };
 
--- a/tests/scenario_expect.cpp
+++ b/tests/scenario_expect.cpp
@@ -41,6 +41,7 @@
       {"versions", &ScenarioExpect::expectVersionsKnown},
       {"resumed", &ScenarioExpect::expectResumed},
       {"gone", &ScenarioExpect::expectMachineReleased},
+      {"marked", &ScenarioExpect::expectMarkedMachines},
       {"machines", &ScenarioExpect::expectMachineCount},
       {"hires", &ScenarioExpect::expectRentalCalls},
       {"hired", &ScenarioExpect::expectRentedMachines},
--- a/tests/scenario_expect.hpp
+++ b/tests/scenario_expect.hpp
@@ -59,6 +59,7 @@
   void expectVersionsKnown(const Line& line);
   void expectResumed(const Line& line);
   void expectMachineReleased(const Line& line);
+  void expectMarkedMachines(const Line& line);
   void expectMachineCount(const Line& line);
   void expectRentalCalls(const Line& line);
   void expectRentedMachines(const Line& line);
--- a/tests/scenario_expect_cluster.cpp
+++ b/tests/scenario_expect_cluster.cpp
@@ -39,6 +39,29 @@
   EXPECT_FALSE(world_->region.isRented(words.at(2)));
 }
 
+// expect marked kept: no machine that `markzone` named was given back.
+// expect marked gone S: all were, when their leases were over (they were acknowledged until they
+// were marked); a leader that began after an end S later has its report round first.
+void ScenarioExpect::expectMarkedMachines(const Line& line) {
+  constexpr double kLeaderLeaseS = 3;
+  constexpr double kElectCommitAndReleaseS = 5;
+  ASSERT_FALSE(markedMachines_.empty());
+  const bool gone = line.words.at(2) == "gone";
+  const double reportDueS = settings_.reportS * 5 / 4 + 1;
+  double bound = 0;
+  if (gone) {
+    const double leaderEndedS = std::stod(line.words.at(3));
+    bound = std::max(settings_.leaseS, leaderEndedS + kLeaderLeaseS + reportDueS) +
+            kElectCommitAndReleaseS;
+  }
+  for (const auto& machine : markedMachines_) {
+    auto releasedAt = world_->region.releasedAt(machine);
+    EXPECT_EQ(releasedAt.has_value(), gone) << machine;
+    if (!gone || !releasedAt) continue;
+    EXPECT_LE(static_cast<double>(*releasedAt - machinesMarkedAt_) / 1000, bound) << machine;
+  }
+}
+
 // expect machines spot|ordinary most|least N
 void ScenarioExpect::expectMachineCount(const Line& line) {
   const auto& words = line.words;
--- a/tests/scenario_faults.cpp
+++ b/tests/scenario_faults.cpp
@@ -59,8 +59,8 @@
       "ops",   "flows",      "tasks", "gpus",     "cpus",     "wrong",   "ram",
       "run",   "checkpoint", "due",   "soon",     "failed",   "pagerows"};
   static const std::set<std::string> kWords{
-      "phase",      "leader", "flow",    "underserved", "gone",      "waits",  "answered",
-      "unanswered", "storm",  "periods", "settled",     "nowaiting", "waiting"};
+      "phase",  "leader",     "flow",  "underserved", "gone",    "waits",     "answered",
+      "marked", "unanswered", "storm", "periods",     "settled", "nowaiting", "waiting"};
   auto bad = [&](const std::string& word) -> std::string {
     char* end = nullptr;
     double v = std::strtod(word.c_str(), &end);
--- a/tests/scenario_faults.hpp
+++ b/tests/scenario_faults.hpp
@@ -172,6 +172,8 @@
   int leadershipsBefore_ = 0;
   std::vector<Catch> catches_;
   int alone_ = -1, marked_ = -1;
+  std::set<std::string> markedMachines_;
+  std::int64_t machinesMarkedAt_ = 0;
   bool policies_ = false;
   std::map<std::string, Network::Traffic> trafficBefore_;
   double trafficAt_ = 0;
--- a/tests/scenario_steps_output.cpp
+++ b/tests/scenario_steps_output.cpp
@@ -51,6 +51,16 @@
 // mark NODE: for `expect leader unmarked`
 void Scenario::markController(const Line& line) { marked_ = nodeOf(line.words.at(1)); }
 
+// markzone ZONE N: its machines that have tasks, N of them, for `expect marked`
+void Scenario::markMachinesOfZone(const Line& line) {
+  markedMachines_.clear();
+  machinesMarkedAt_ = world_->clock.now();
+  for (const auto& machine : world_->machinesWithTasks()) {
+    if (world_->workers.at(machine)->zone == line.words.at(1)) markedMachines_.insert(machine);
+  }
+  EXPECT_EQ(markedMachines_.size(), std::stoul(line.words.at(2)));
+}
+
 // watch ID: for `expect fewest`
 void Scenario::watchJob(const Line& line) {
   world_->watch(line.words.at(1));
