Fleet: controllers tell each other until when each zone was acknowledged, so that it outlives the leader

Symptom: a zone without a controller is cut off and the leader ends; the next leader gives the machines up a lease after its own election instead of a lease after they were last acknowledged, and production replicas are missing that much longer. Change: the status that controllers exchange carries for each zone the newest acknowledgement and, where the sender can rule out any newer one by anybody, a bound (ZoneAckLog; an optional field, constant in the number of machines). A new leader gives unheard machines up once that bound is a lease and the cut-off margin old, after a report round. An acknowledgement after more than 2 s without one is announced at once. A zone is suspected when all its machines are overdue, however few, and the record is written when that changes. Nothing is given up sooner where any controller that can't be asked may be answering.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -52,6 +52,7 @@
           }),
       workerTransport_(runtime, http, peerMembership_),
       forwarder_(runtime, peerMembership_, platform.member),
+      zoneAcks_(platform, runtime.now()),
       store_(runtime, stateProxy_, platform.stateAddress,
              platform.stateRequestsPerS / static_cast<double>(platform.nodes())),
       cloud_(runtime, cloudProxy_, platform.cloudAddress, platform.cloudRequestsPerS * 0.9),
@@ -107,6 +108,13 @@
   watcher_.start();
   peerMembership_.onAnswer = [this](const PeerStatus& s, Instant asked) {
     cancellationBarrier_.onPeerStatus(s.member, asked, s.newestCancellation, replica_.cursor());
+    zoneAcks_.onPeerAnswer(s.member, asked, runtime_.now(), s.zoneAcks);
+  };
+  peerMembership_.onAnnouncement = [this](const PeerStatus& s) {
+    if (s.zoneAcks) zoneAcks_.onPeerAnnouncement(runtime_.now(), *s.zoneAcks);
+  };
+  peerMembership_.onRefused = [this](const MemberId& peer) {
+    zoneAcks_.onPeerRefused(peer, runtime_.now());
   };
   peerMembership_.start([this] { return status(); }, kStatusExchangeEvery);
   onTimer();
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -89,6 +89,7 @@
   /// controller_heartbeats.cpp
   void onHeartbeat(const Request& request, const Respond& respond);
   Instant noteHeartbeat(const Report& report);
+  void noteAcknowledged(const MachineId& machine, const ZoneId& zone, Instant receivedAt);
   HeartbeatView heartbeatView(const Report& report) const;
   void addUnreachableLeader(const Report& report, HeartbeatView& v) const;
   /// Answers as the leader. `via` is the peer that forwarded the heartbeat.
@@ -101,6 +102,8 @@
   /// controller_peer_api.cpp
   bool onMeshService(const Request& request, const Respond& respond);
   PeerStatus status() const;
+  /// Per zone, an instant after which no controller acknowledged a heartbeat; see ZoneAckLog.
+  std::map<ZoneId, Instant> zoneAckBounds() const;
   /// The median time of day of this controller and its peers, in milliseconds since 1970.
   std::int64_t timeOfDay() const;
 
@@ -117,6 +120,7 @@
   WorkerTransport workerTransport_;
   HeartbeatForwarder forwarder_;
   HeartbeatAckLog ackLog_;
+  ZoneAckLog zoneAcks_;
   StoreClient store_;
   CloudClient cloud_;
   Replica replica_;
--- a/src/app/controller_heartbeats.cpp
+++ b/src/app/controller_heartbeats.cpp
@@ -19,8 +19,9 @@
   auto report = body ? reportFrom(*body) : std::nullopt;
   if (!report) return respond(jsonResponse(400, {{"error", "not a report"}}));
   Instant receivedAt = noteHeartbeat(*report);
-  auto answer = [this, receivedAt, machine = report->machine, respond](Response r) {
-    if (r.status == 200) ackLog_.record(machine, receivedAt);
+  auto answer = [this, receivedAt, machine = report->machine, zone = report->zone,
+                 respond](Response r) {
+    if (r.status == 200) noteAcknowledged(machine, zone, receivedAt);
     respond(std::move(r));
   };
   Route route = routeHeartbeat(heartbeatView(*report));
@@ -41,6 +42,13 @@
   return lastWorker_;
 }
 
+void Controller::noteAcknowledged(const MachineId& machine, const ZoneId& zone,
+                                  Instant receivedAt) {
+  ackLog_.record(machine, receivedAt);
+  // Peers would take the zone for silent if this controller ended before its next status.
+  if (zoneAcks_.onAcknowledged(zone, receivedAt)) peerMembership_.announceStatus();
+}
+
 // Answers a heartbeat whose forwarding failed, as if there were no reachable leader.
 Response Controller::answerUnforwarded(const Report& report) {
   HeartbeatView v = heartbeatView(report);
--- a/src/app/controller_leadership.cpp
+++ b/src/app/controller_leadership.cpp
@@ -105,6 +105,7 @@
   context.effectivePolicy = &policyReplica_;
   context.allMembersRead = [this](unsigned format) { return versions_.allAtLeast(format); };
   context.timeOfDay = [this] { return timeOfDay(); };
+  context.zoneAckBounds = [this] { return zoneAckBounds(); };
   if (metrics_) {
     context.onGivenUpForSilence = [this](Duration silence) { metrics_->machineGivenUp(silence); };
   }
--- a/src/app/leader.cpp
+++ b/src/app/leader.cpp
@@ -106,6 +106,7 @@
 }
 
 void Leader::detectFailures(Instant now) {
+  if (context_.zoneAckBounds) fleet_.setZoneAckBounds(context_.zoneAckBounds(), now);
   fleet_.detectFailures(now, context_.catalogue ? &*context_.catalogue : nullptr,
                         mayHaveActingLeader_);
 }
--- a/src/cloud/forecast_loop.cpp
+++ b/src/cloud/forecast_loop.cpp
@@ -9,6 +9,8 @@
 
 void ForecastLoop::onTimer() {
   if (!context_.initialRoundOver || !context_.catalogue) return;
+  // A leader that ends before the interval's turn must not take along what it knows of them.
+  if (suspectedZonesChanged()) dirty_ = true;
   if (context_.runtime.now() >= ends_) {
     turn();
   } else {
@@ -26,12 +28,23 @@
     set(keys::kCatalogue, kestrelhoist::toJson(*context_.catalogue));
   if (dirty_) {
     set(keys::kForecast, fitting(context_.platform.valueBytes));
+    recordedSuspects_.clear();
+    for (const auto& [zone, at] : fleet_.suspectedZones(context_.runtime.now())) {
+      recordedSuspects_.insert(zone);
+    }
     dirty_ = false;
   }
   if (t.writes.empty()) return LoopStep::idle();
   return LoopStep::committing(Commit{std::move(t), nullptr, "types or forecast"});
 }
 
+bool ForecastLoop::suspectedZonesChanged() const {
+  const auto suspected = fleet_.suspectedZones(context_.runtime.now());
+  return !std::equal(suspected.begin(), suspected.end(), recordedSuspects_.begin(),
+                     recordedSuspects_.end(),
+                     [](const auto& entry, const ZoneId& zone) { return entry.first == zone; });
+}
+
 void ForecastLoop::turn() {
   Instant now = context_.runtime.now();
   auto demand = demandNow(context_, fleet_, planning_.unplaced());
--- a/src/cloud/forecast_loop.hpp
+++ b/src/cloud/forecast_loop.hpp
@@ -3,6 +3,8 @@
 /// for.
 #pragma once
 
+#include <set>
+
 #include "cloud/scaling_loop.hpp"
 
 namespace kestrelhoist {
@@ -26,6 +28,8 @@
 
  private:
   void turn();
+  /// Whether zones fell silent, or came back, since the record was last written.
+  bool suspectedZonesChanged() const;
   Json toJson() const;
   Json fitting(std::size_t bytes) const;
 
@@ -36,6 +40,7 @@
   DemandForecasts& forecasts_;
   Instant ends_{};
   bool dirty_ = false;
+  std::set<ZoneId> recordedSuspects_;  ///< zones that the record names as silent
   bool loaded_ = false;
 };
 
--- /dev/null
+++ b/src/connectivity/zone_ack_log.cpp
@@ -0,0 +1,164 @@
+#include "connectivity/zone_ack_log.hpp"
+
+#include <algorithm>
+
+namespace kestrelhoist {
+namespace {
+
+constexpr const char* kUptimeField = "uptime_ms";
+constexpr const char* kKnownField = "known_ms";
+constexpr const char* kBoundField = "bound_ms";
+
+// A peer that answered a request sent this recently is running, and tells what it acknowledges.
+constexpr Duration kPeerAnswersWithin{2000};
+// An acknowledgement this long after the one before is announced at once, so that peers always know
+// the newest acknowledgement of a zone to this accuracy. A zone with many machines never causes
+// one.
+constexpr Duration kAnnouncedAfter{2000};
+// By then every peer that answers has noticed that this process is new.
+constexpr Duration kNoticedByPeers{2000};
+
+Json agesToJson(const std::map<ZoneId, Duration>& ages) {
+  Json out = Json::object();
+  for (const auto& [zone, age] : ages) out[zone.value] = std::max<std::int64_t>(0, age.count());
+  return out;
+}
+
+std::optional<Duration> ageFrom(const Json& v) {
+  constexpr std::int64_t kLongest = std::int64_t{1} << 53;
+  if (!v.is_number_integer()) return std::nullopt;
+  if (v.is_number_unsigned() && v.get<std::uint64_t>() > kLongest) return std::nullopt;
+  const auto age = v.get<std::int64_t>();
+  if (age < 0) return std::nullopt;
+  return Duration{age};
+}
+
+std::optional<std::map<ZoneId, Duration>> agesFrom(const Json* v,
+                                                   const std::vector<ZoneId>& zones) {
+  if (!v || !v->is_object() || v->size() > zones.size()) return std::nullopt;
+  std::map<ZoneId, Duration> ages;
+  for (const auto& [name, value] : v->items()) {
+    const ZoneId zone{name};
+    auto age = ageFrom(value);
+    if (!age || std::find(zones.begin(), zones.end(), zone) == zones.end()) return std::nullopt;
+    ages[zone] = *age;
+  }
+  return ages;
+}
+
+}  // namespace
+
+Json toJson(const ZoneAckReport& report) {
+  return {{kUptimeField, report.uptime.count()},
+          {kKnownField, agesToJson(report.knownAges)},
+          {kBoundField, agesToJson(report.boundAges)}};
+}
+
+std::optional<ZoneAckReport> zoneAckReportFrom(const Json& v, const std::vector<ZoneId>& zones) {
+  const Json* uptime = field(v, kUptimeField);
+  auto up = uptime ? ageFrom(*uptime) : std::nullopt;
+  auto known = agesFrom(field(v, kKnownField), zones);
+  auto bound = agesFrom(field(v, kBoundField), zones);
+  if (!up || !known || !bound) return std::nullopt;
+  return ZoneAckReport{*up, std::move(*known), std::move(*bound)};
+}
+
+ZoneAckLog::ZoneAckLog(const Platform& platform, Instant startedAt) : startedAt_(startedAt) {
+  for (const auto& peer : platform.peers) {
+    peers_[peer.member] = {peer.zone, std::nullopt, std::nullopt};
+  }
+  for (const auto& zone : platform.zones) beforeStart_[zone] = startedAt;
+}
+
+void ZoneAckLog::raise(const ZoneId& zone, Instant at) {
+  auto [entry, isNew] = newest_.try_emplace(zone, at);
+  if (!isNew) entry->second = std::max(entry->second, at);
+}
+
+bool ZoneAckLog::onAcknowledged(const ZoneId& zone, Instant receivedAt) {
+  if (!beforeStart_.contains(zone)) return false;  // peers would not know it
+  auto before = newest_.find(zone);
+  const bool wasSilent = before == newest_.end() || receivedAt - before->second > kAnnouncedAfter;
+  raise(zone, receivedAt);
+  return wasSilent;
+}
+
+void ZoneAckLog::onPeerAnswer(const MemberId& peer, Instant askedAt, Instant receivedAt,
+                              const std::optional<ZoneAckReport>& report) {
+  auto entry = peers_.find(peer);
+  if (entry == peers_.end() || !report) return;
+  PeerView& view = entry->second;
+  const Instant peerStartedAt = receivedAt - report->uptime;
+  if (view.knownUpTo && peerStartedAt > *view.knownUpTo) {
+    addUntold(view, std::min(peerStartedAt, view.endedAt.value_or(peerStartedAt)));
+  }
+  view.endedAt.reset();
+  view.knownUpTo = std::max(askedAt, view.knownUpTo.value_or(askedAt));
+  onPeerAnnouncement(receivedAt, *report);
+  if (askedAt < startedAt_ + kNoticedByPeers) return;
+  for (const auto& [zone, age] : report->boundAges) {
+    beforeStart_[zone] = std::min(beforeStart_[zone], receivedAt - age);
+  }
+}
+
+void ZoneAckLog::onPeerAnnouncement(Instant receivedAt, const ZoneAckReport& report) {
+  for (const auto& [zone, age] : report.knownAges) raise(zone, receivedAt - age);
+}
+
+void ZoneAckLog::onPeerRefused(const MemberId& peer, Instant at) {
+  auto entry = peers_.find(peer);
+  if (entry == peers_.end() || entry->second.endedAt) return;
+  addUntold(entry->second, at);
+  entry->second.endedAt = at;
+}
+
+// A controller that has ended may have acknowledged heartbeats after its last answer, until its
+// end. Of a zone without a recent one at its last answer it would have announced the next at once,
+// so this concerns the others only; after a long time without an answer, all.
+void ZoneAckLog::addUntold(const PeerView& view, Instant endedAt) {
+  if (!view.knownUpTo) return;
+  const bool longUnknown = endedAt - *view.knownUpTo > kPeerAnswersWithin;
+  for (const auto& [zone, ignored] : beforeStart_) {
+    auto newest = newest_.find(zone);
+    const bool wasRecent =
+        newest != newest_.end() && *view.knownUpTo - newest->second <= kAnnouncedAfter;
+    if (longUnknown || wasRecent) raise(zone, endedAt);
+  }
+}
+
+// Whether all that the peer acknowledged is included. A controller inside a zone that is cut off
+// can be cut off with it and go on answering, so there a refusal is no sign of its end.
+bool ZoneAckLog::coversPeer(const PeerView& view, const MemberId& peer, const ZoneId& zone,
+                            Instant now,
+                            const std::function<bool(const MemberId&)>& mayBeAlive) const {
+  if (!view.knownUpTo) return false;
+  if (view.endedAt) return view.zone != zone && !mayBeAlive(peer);
+  return now - *view.knownUpTo <= kPeerAnswersWithin;
+}
+
+std::map<ZoneId, Instant> ZoneAckLog::bounds(
+    Instant now, const std::function<bool(const MemberId&)>& mayBeAlive) const {
+  std::map<ZoneId, Instant> out;
+  for (const auto& [zone, before] : beforeStart_) {
+    const bool covered = std::all_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+      return coversPeer(entry.second, entry.first, zone, now, mayBeAlive);
+    });
+    if (!covered) continue;
+    auto newest = newest_.find(zone);
+    out[zone] = newest == newest_.end() ? before : std::max(before, newest->second);
+  }
+  return out;
+}
+
+ZoneAckReport ZoneAckLog::report(Instant now,
+                                 const std::function<bool(const MemberId&)>& mayBeAlive) const {
+  ZoneAckReport out;
+  out.uptime = now - startedAt_;
+  for (const auto& [zone, at] : newest_) out.knownAges[zone] = std::max(Duration{0}, now - at);
+  for (const auto& [zone, at] : bounds(now, mayBeAlive)) {
+    out.boundAges[zone] = std::max(Duration{0}, now - at);
+  }
+  return out;
+}
+
+}  // namespace kestrelhoist
--- /dev/null
+++ b/src/connectivity/zone_ack_log_test.cpp
@@ -0,0 +1,186 @@
+// What controllers tell each other of the zones' acknowledged heartbeats, and what a new leader may
+// conclude from it. A zone was cut off and its leader ended: the next one counted the silence from
+// its own election, since what the dead leader knew had ended with it ("newest sign of life of zone
+// zone=c source=leader_start"), and production replicas were missing for a lease longer.
+#include "connectivity/zone_ack_log.hpp"
+
+#include <gtest/gtest.h>
+
+namespace kestrelhoist {
+namespace {
+
+const ZoneId kZoneA{"a"}, kZoneB{"b"}, kZoneC{"c"};
+const MemberId kLeader{"leader"}, kThird{"third"};
+
+Platform platformWithPeers() {
+  Platform platform;
+  platform.member = MemberId{"me"};
+  platform.zone = kZoneA;
+  platform.zones = {kZoneA, kZoneB, kZoneC};
+  platform.peers = {{kLeader, kZoneA, "leader:1"}, {kThird, kZoneB, "third:1"}};
+  platform.reportEvery = Duration{8000};
+  return platform;
+}
+
+constexpr std::int64_t kHourMs = 3600000;
+
+/// A controller that has been running for an hour, and two peers that answer it.
+struct ZoneAcks : testing::Test {
+  Platform platform = platformWithPeers();
+  ZoneAckLog log{platform, Instant{0}};
+  std::set<MemberId> ended;
+
+  static ZoneAckReport told(std::map<ZoneId, Duration> known, Duration uptime = Duration{kHourMs}) {
+    return {uptime, std::move(known), {}};
+  }
+  void answers(const MemberId& peer, std::int64_t atMs, std::map<ZoneId, Duration> known,
+               Duration uptime = Duration{kHourMs}) {
+    log.onPeerAnswer(peer, Instant{atMs - 10}, Instant{atMs}, told(std::move(known), uptime));
+  }
+  void refuses(const MemberId& peer, std::int64_t atMs) {
+    ended.insert(peer);
+    log.onPeerRefused(peer, Instant{atMs});
+  }
+  std::map<ZoneId, Instant> bounds(std::int64_t atMs) const {
+    return log.bounds(Instant{atMs},
+                      [this](const MemberId& peer) { return !ended.contains(peer); });
+  }
+  std::optional<Instant> boundOf(const ZoneId& zone, std::int64_t atMs) const {
+    auto all = bounds(atMs);
+    return all.contains(zone) ? std::optional(all.at(zone)) : std::nullopt;
+  }
+};
+
+TEST_F(ZoneAcks, OutliveTheLeaderThatGaveThem) {
+  answers(kLeader, kHourMs, {{kZoneC, Duration{5000}}, {kZoneA, Duration{100}}});
+  answers(kThird, kHourMs, {{kZoneB, Duration{100}}});
+  refuses(kLeader, kHourMs + 400);
+  answers(kThird, kHourMs + 500, {{kZoneB, Duration{100}}});
+  EXPECT_EQ(boundOf(kZoneC, kHourMs + 500), Instant{kHourMs - 5000});
+}
+
+TEST_F(ZoneAcks, OfAZoneThatWasOnTimeCountUntilTheLeadersEnd) {
+  answers(kLeader, kHourMs, {{kZoneC, Duration{1500}}});
+  answers(kThird, kHourMs, {});
+  refuses(kLeader, kHourMs + 400);
+  EXPECT_EQ(boundOf(kZoneC, kHourMs + 500), Instant{kHourMs + 400});
+}
+
+TEST_F(ZoneAcks, CountUntilTheEndOfALeaderThatWasNotHeardForLong) {
+  answers(kLeader, kHourMs, {{kZoneC, Duration{60000}}});
+  answers(kThird, kHourMs, {});
+  refuses(kLeader, kHourMs + 9000);
+  answers(kThird, kHourMs + 9000, {});
+  EXPECT_EQ(boundOf(kZoneC, kHourMs + 9000), Instant{kHourMs + 9000});
+}
+
+TEST_F(ZoneAcks, AreUnknownWhileAControllerThatCannotBeAskedMayGiveThem) {
+  answers(kLeader, kHourMs, {{kZoneC, Duration{5000}}});
+  answers(kThird, kHourMs, {});
+  EXPECT_TRUE(boundOf(kZoneC, kHourMs + 1900));
+  answers(kThird, kHourMs + 2500, {});
+  EXPECT_TRUE(bounds(kHourMs + 2500).empty());  // the leader hangs: it may go on
+}
+
+TEST_F(ZoneAcks, AreUnknownInTheZoneOfAControllerThatRefuses) {
+  answers(kLeader, kHourMs, {});
+  answers(kThird, kHourMs, {{kZoneC, Duration{5000}}, {kZoneB, Duration{5000}}});
+  refuses(kThird, kHourMs + 400);
+  answers(kLeader, kHourMs + 500, {});
+  EXPECT_FALSE(boundOf(kZoneB, kHourMs + 500));  // it may be cut off with its zone
+  EXPECT_TRUE(boundOf(kZoneC, kHourMs + 500));
+  ended.clear();  // it refuses for so long that a packet filter is likelier
+  EXPECT_FALSE(boundOf(kZoneC, kHourMs + 500));
+}
+
+TEST_F(ZoneAcks, AreUnknownWhileAPeerOfAnEarlierVersionDoesNotTell) {
+  answers(kLeader, kHourMs, {});
+  log.onPeerAnswer(kThird, Instant{kHourMs}, Instant{kHourMs}, std::nullopt);
+  EXPECT_TRUE(bounds(kHourMs).empty());
+}
+
+TEST_F(ZoneAcks, OfAControllerThatIsBackAtOnceCountUntilItsStart) {
+  answers(kThird, kHourMs, {});
+  answers(kLeader, kHourMs, {{kZoneC, Duration{60000}}, {kZoneA, Duration{100}}});
+  answers(kLeader, kHourMs + 500, {}, Duration{200});
+  EXPECT_EQ(boundOf(kZoneA, kHourMs + 500), Instant{kHourMs + 300});
+  EXPECT_EQ(boundOf(kZoneC, kHourMs + 500), Instant{kHourMs - 60000});
+}
+
+TEST_F(ZoneAcks, ThatCameUnaskedAndLateMakeAZoneLookNewerNeverOlder) {
+  answers(kLeader, kHourMs, {{kZoneC, Duration{5000}}});
+  answers(kThird, kHourMs, {});
+  log.onPeerAnnouncement(Instant{kHourMs + 100}, told({{kZoneC, Duration{4000}}}));
+  EXPECT_EQ(boundOf(kZoneC, kHourMs + 100), Instant{kHourMs - 3900});
+  log.onPeerAnnouncement(Instant{kHourMs + 200}, told({{kZoneC, Duration{90000}}}));
+  EXPECT_EQ(boundOf(kZoneC, kHourMs + 200), Instant{kHourMs - 3900});
+  // A held status is no sign that the peer has told all until it came.
+  answers(kThird, kHourMs + 30000, {});
+  log.onPeerAnnouncement(Instant{kHourMs + 30000}, told({{kZoneC, Duration{5000}}}));
+  EXPECT_FALSE(boundOf(kZoneC, kHourMs + 30000));
+}
+
+TEST_F(ZoneAcks, AreAnnouncedWhenPeersKnowNoRecentOne) {
+  EXPECT_TRUE(log.onAcknowledged(kZoneC, Instant{kHourMs}));
+  EXPECT_FALSE(log.onAcknowledged(kZoneC, Instant{kHourMs + 2000}));
+  EXPECT_TRUE(log.onAcknowledged(kZoneC, Instant{kHourMs + 4001}));
+  EXPECT_FALSE(log.onAcknowledged(ZoneId{"elsewhere"}, Instant{kHourMs}));
+  EXPECT_FALSE(log.report(Instant{kHourMs + 5000}, [](const MemberId&) { return true; })
+                   .knownAges.contains(ZoneId{"elsewhere"}));
+}
+
+// A controller that has just started knows nothing of its earlier life; its peers do once they have
+// noticed its end.
+TEST_F(ZoneAcks, ComeBackFromPeersToAControllerThatStartedAnew) {
+  ZoneAckLog anew{platform, Instant{kHourMs}};
+  auto alive = [](const MemberId&) { return true; };
+  ZoneAckReport report{Duration{kHourMs}, {{kZoneC, Duration{9000}}}, {{kZoneC, Duration{9000}}}};
+  for (const auto& peer : {kLeader, kThird}) {
+    anew.onPeerAnswer(peer, Instant{kHourMs + 500}, Instant{kHourMs + 500}, report);
+  }
+  EXPECT_EQ(anew.bounds(Instant{kHourMs + 500}, alive).at(kZoneC), Instant{kHourMs});
+  report.knownAges[kZoneC] = report.boundAges[kZoneC] = Duration{10500};
+  for (const auto& peer : {kLeader, kThird}) {
+    anew.onPeerAnswer(peer, Instant{kHourMs + 2000}, Instant{kHourMs + 2000}, report);
+  }
+  EXPECT_EQ(anew.bounds(Instant{kHourMs + 2000}, alive).at(kZoneC), Instant{kHourMs - 8500});
+}
+
+TEST_F(ZoneAcks, OfAControllerWithoutPeersBeginWithItsStart) {
+  platform.peers.clear();
+  ZoneAckLog alone{platform, Instant{7000}};
+  auto alive = [](const MemberId&) { return true; };
+  EXPECT_EQ(alone.bounds(Instant{9000}, alive).at(kZoneC), Instant{7000});
+  alone.onAcknowledged(kZoneC, Instant{8000});
+  EXPECT_EQ(alone.bounds(Instant{9000}, alive).at(kZoneC), Instant{8000});
+}
+
+TEST_F(ZoneAcks, AreReadBackAsTheyWereWritten) {
+  const ZoneAckReport report{Duration{5}, {{kZoneC, Duration{7}}}, {{kZoneA, Duration{9}}}};
+  auto read = zoneAckReportFrom(toJson(report), platform.zones);
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->uptime, report.uptime);
+  EXPECT_EQ(read->knownAges, report.knownAges);
+  EXPECT_EQ(read->boundAges, report.boundAges);
+}
+
+TEST_F(ZoneAcks, ThatAreMalformedAreLeftOutAsAWhole) {
+  for (const char* text : {
+           R"({})",
+           R"([])",
+           R"({"uptime_ms":1,"known_ms":{"a":1}})",
+           R"({"uptime_ms":1,"known_ms":{"a":1,"nowhere":1},"bound_ms":{}})",
+           R"({"uptime_ms":1,"known_ms":{"a":-1},"bound_ms":{}})",
+           R"({"uptime_ms":-1,"known_ms":{},"bound_ms":{}})",
+           R"({"uptime_ms":1,"known_ms":{"a":"1"},"bound_ms":{}})",
+           R"({"uptime_ms":1,"known_ms":{"a":1.5},"bound_ms":{}})",
+           R"({"uptime_ms":1,"known_ms":{"a":18446744073709551615},"bound_ms":{}})",
+           R"({"uptime_ms":1,"known_ms":[1],"bound_ms":{}})",
+           R"({"uptime_ms":1,"known_ms":{"a":1,"b":1,"c":1,"d":1},"bound_ms":{}})",
+       }) {
+    EXPECT_FALSE(zoneAckReportFrom(Json::parse(text), platform.zones)) << text;
+  }
+}
+
+}  // namespace
+}  // namespace kestrelhoist
--- a/src/fleet/failure_detector.cpp
+++ b/src/fleet/failure_detector.cpp
@@ -17,6 +17,11 @@
   return {MachineLoss::lost, std::move(reason), std::nullopt};
 }
 
+TerminationVerdict lostBySilence(const SilenceEvidence& evidence) {
+  return {MachineLoss::lost, "silent for " + std::to_string(evidence.silence.count()) + " ms",
+          evidence};
+}
+
 TerminationVerdict terminated(std::string reason) {
   return {MachineLoss::none, std::move(reason), std::nullopt};
 }
@@ -29,6 +34,8 @@
       return "own_report";
     case SignOfLifeSource::peerAcknowledgement:
       return "peer_acknowledgement";
+    case SignOfLifeSource::zoneAcknowledgements:
+      return "zone_acknowledgements";
     case SignOfLifeSource::record:
       return "record";
     case SignOfLifeSource::leaderStart:
@@ -125,6 +132,7 @@
   if (record && record->draining) return resumeTermination(machine, hasTasks);
   if (auto verdict = inspectRemoval(machine, hasTasks)) return verdict;
   if (!machine.hasReported() && !hasTasks) return inspectUnregistered(machine);
+  if (auto verdict = inspectUnheardZone(machine)) return verdict;
   return inspectSilence(machine);
 }
 
@@ -176,6 +184,25 @@
   return std::nullopt;
 }
 
+// A machine of a zone from which no controller acknowledged a heartbeat since before this
+// leadership: once its lease is over, whatever ran on it has ended. This can only be earlier than
+// inspectSilence(), which counts from the beginning of this leadership.
+std::optional<TerminationVerdict> FailureDetector::inspectUnheardZone(
+    const Machine& machine) const {
+  if (machine.hasReported() || machine.firstSeen > leaderSince_) return std::nullopt;
+  // A zone that has just come back is heard by then.
+  if (now_ - leaderSince_ < fleet_.reportDue()) return std::nullopt;
+  auto acknowledged = fleet_.lastAckBeforeLeadership(machine.zone);
+  if (!acknowledged) return std::nullopt;
+  const Duration silence = now_ - *acknowledged;
+  const Duration timeout = cutOffTimeout(machine);
+  if (silence <= timeout) return std::nullopt;
+  return lostBySilence({{*acknowledged, SignOfLifeSource::zoneAcknowledgements},
+                        silence,
+                        timeout,
+                        SilenceLimit::cutOffZone});
+}
+
 // A silent machine is dead or out of reach. While others of its zone report it is most likely dead.
 std::optional<TerminationVerdict> FailureDetector::inspectSilence(const Machine& machine) const {
   const SignOfLife newest = fleet_.signOfLife(machine);
@@ -188,9 +215,7 @@
   }
   const Duration silence = silenceOf(machine);
   if (silence <= timeout.duration) return std::nullopt;
-  TerminationVerdict verdict = lost("silent for " + std::to_string(silence.count()) + " ms");
-  verdict.silence = SilenceEvidence{newest, silence, timeout.duration, timeout.limit};
-  return verdict;
+  return lostBySilence({newest, silence, timeout.duration, timeout.limit});
 }
 
 bool FailureDetector::mayBeCutOff(const Machine& machine) const {
--- a/src/fleet/failure_detector.hpp
+++ b/src/fleet/failure_detector.hpp
@@ -22,7 +22,13 @@
 enum class MachineLoss { none, lost, neverBooted };
 
 /// From where a leader knows the newest sign of life of a machine.
-enum class SignOfLifeSource { ownReport, peerAcknowledgement, record, leaderStart };
+enum class SignOfLifeSource {
+  ownReport,
+  peerAcknowledgement,
+  zoneAcknowledgements,
+  record,
+  leaderStart
+};
 const char* toString(SignOfLifeSource source);
 
 /// The newest sign of life that a leader knows of a machine.
@@ -94,6 +100,7 @@
   std::optional<TerminationVerdict> resumeTermination(const Machine& machine, bool hasTasks);
   std::optional<TerminationVerdict> inspectRemoval(const Machine& machine, bool hasTasks) const;
   std::optional<TerminationVerdict> inspectUnregistered(const Machine& machine) const;
+  std::optional<TerminationVerdict> inspectUnheardZone(const Machine& machine) const;
   std::optional<TerminationVerdict> inspectSilence(const Machine& machine) const;
   bool mayBeCutOff(const Machine& machine) const;
   Duration silenceOf(const Machine& machine) const;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -9,6 +9,10 @@
 namespace {
 constexpr Duration kReleasedMemory{15 * 60 * 1000};
 constexpr Duration kLateMargin{1000};
+// Until a peer that ended has refused a connection, or is back.
+constexpr Duration kEndedPeersNoticed{2000};
+// A heartbeat that a peer forwards is received by the leader within this time, or not at all.
+constexpr Duration kForwardedWithin{2000};
 }  // namespace
 
 Fleet::Fleet(const Platform& platform, const Replica& replica, FencingToken token, Instant now)
@@ -251,32 +255,80 @@
     machine->ackedByPeerAt = std::max(machine->ackedByPeerAt.value_or(at), at);
 }
 
+void Fleet::setZoneAckBounds(std::map<ZoneId, Instant> bounds, Instant now) {
+  zoneAckBounds_ = std::move(bounds);
+  std::erase_if(ackedBeforeLeadership_,
+                [&](const auto& entry) { return !zoneAckBounds_.contains(entry.first); });
+  for (const auto& [zone, bound] : zoneAckBounds_) updateAckedBeforeLeadership(zone, bound, now);
+}
+
+// Heartbeats of other machines of the zone that this leader received since say nothing of those
+// that it did not. One that another controller acknowledged and this leader did not receive may
+// have come from any of them.
+void Fleet::updateAckedBeforeLeadership(const ZoneId& zone, Instant bound, Instant now) {
+  if (bound < leaderSince_) {
+    // By then the peers' ends are noticed, and what they may have acknowledged until then counts.
+    if (now - leaderSince_ >= kEndedPeersNoticed) ackedBeforeLeadership_[zone] = bound;
+    return;
+  }
+  const bool receivedHere = std::any_of(machines_.begin(), machines_.end(), [&](const auto& entry) {
+    const Machine& machine = entry.second;
+    return machine.zone == zone && machine.hasReported() &&
+           machine.session.lastReportAt + kForwardedWithin >= bound;
+  });
+  if (!receivedHere) ackedBeforeLeadership_.erase(zone);
+}
+
+std::optional<Instant> Fleet::lastAckBeforeLeadership(const ZoneId& zone) const {
+  auto found = ackedBeforeLeadership_.find(zone);
+  return found == ackedBeforeLeadership_.end() ? std::nullopt : std::optional(found->second);
+}
+
+// Since when a zone is silent of which this leader has had no report, as far as that is known.
+std::optional<Instant> Fleet::silentBeforeLeadership(const ZoneId& zone) const {
+  if (auto bound = lastAckBeforeLeadership(zone)) return bound;
+  auto recorded = suspectedSince_.find(zone);
+  return recorded == suspectedSince_.end() ? std::nullopt : std::optional(recorded->second);
+}
+
 std::map<ZoneId, Instant> Fleet::suspectedZones(Instant now) const {
-  struct Newest {
-    Instant at;
-    int machines = 0;
+  struct ZoneSigns {
+    std::optional<Instant> newest;
+    int working = 0;
+    bool hasUnheardTasks = false;
   };
-  std::map<ZoneId, Newest> zones;
+  std::map<ZoneId, ZoneSigns> zones;
   for (const auto& [id, machine] : machines_) {
-    bool working = machine.hasReported() || machine.ackedByPeerAt;
-    if (!working || machine.terminationRequested) continue;
-    auto& zone = zones[machine.zone];
-    zone.at = std::max(zone.at, lastSignOfLife(machine));
-    ++zone.machines;
+    if (machine.terminationRequested) continue;
+    ZoneSigns& zone = zones[machine.zone];
+    if (!machine.hasReported() && !machine.ackedByPeerAt) {
+      const auto* record = replica_.machine(id);
+      zone.hasUnheardTasks = zone.hasUnheardTasks || (record && !record->tasks.empty());
+      continue;
+    }
+    const Instant at = lastSignOfLife(machine);
+    zone.newest = std::max(zone.newest.value_or(at), at);
+    ++zone.working;
   }
   std::map<ZoneId, Instant> out;
-  for (const auto& [zone, newest] : zones) {
-    // Reports of n machines come every reportEvery / n on average.
-    constexpr int kSeveral = 4;
-    constexpr Duration kLate{1000};
-    if (newest.machines < kSeveral) continue;
-    if (now - newest.at > kSeveral * platform_.reportEvery / newest.machines + kLate) {
-      out[zone] = newest.at;
+  for (const auto& [id, zone] : zones) {
+    if (!zone.newest) {
+      auto since = silentBeforeLeadership(id);
+      if (since && zone.hasUnheardTasks) out[id] = *since;
+    } else if (now - *zone.newest > zoneSilence(zone.working)) {
+      out[id] = *zone.newest;
     }
   }
   return out;
 }
 
+// Reports of n machines come every reportEvery / n on average, so many machines are known to be
+// silent before each of them is overdue.
+Duration Fleet::zoneSilence(int machines) const {
+  constexpr int kReports = 4;
+  return std::min(reportDue(), kReports * platform_.reportEvery / machines + kLateMargin);
+}
+
 // For a machine that this leader has no report of, the acknowledgement of a peer counts, else what
 // an earlier leader recorded of its zone; else nothing is known before this leadership.
 SignOfLife Fleet::signOfLife(const Machine& machine) const {
@@ -305,8 +357,12 @@
     if (machine.hasReported()) ++zone.reporting;
   }
   for (const auto& [id, zone] : zones) {
+    auto bound = zoneAckBounds_.find(id);
+    const std::string acknowledged =
+        bound == zoneAckBounds_.end() ? "unknown" : std::to_string((now - bound->second).count());
     logInfo("newest sign of life of zone", "zone", id, "age_ms", now - zone.newest.at, "source",
-            toString(zone.newest.source), "machines", zone.machines, "reporting", zone.reporting);
+            toString(zone.newest.source), "acknowledged_ms", acknowledged, "machines",
+            zone.machines, "reporting", zone.reporting);
   }
 }
 
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -66,11 +66,18 @@
   /// accord, not as the answer to a direct command.
   bool applyReport(const Report& report, Instant now, bool isHeartbeat = false);
 
-  /// Zones whose machines have all been silent for longer than their number explains, with the
-  /// newest sign of life of any of them.
+  /// Zones whose machines are all overdue, or have all been silent for longer than their number
+  /// explains, with the newest sign of life of any of them. Zones that this leader never heard are
+  /// included if their silence is known from before.
   std::map<ZoneId, Instant> suspectedZones(Instant now) const;
   /// An earlier leader found all machines of a zone silent since `at`.
   void restoreSuspectedZone(const ZoneId& zone, Instant at) { suspectedSince_[zone] = at; }
+  /// Sets the instants after which no controller acknowledged a heartbeat of a zone; see
+  /// ZoneAckLog.
+  void setZoneAckBounds(std::map<ZoneId, Instant> bounds, Instant now);
+  /// Until when any controller may have acknowledged a heartbeat of a machine in this zone that has
+  /// not reported to this leader, if that was before this leadership; empty if it is not known.
+  std::optional<Instant> lastAckBeforeLeadership(const ZoneId& zone) const;
   /// A peer last acknowledged a report of the machine at `at`.
   void noteAckByPeer(const MachineId& id, Instant at);
   /// An earlier leader knew that the machine holds this image, from tasks that are long over.
@@ -153,6 +160,9 @@
   void updateFirstSeenRunning(Machine& machine, Instant now) const;
   void updateImageCache(Machine& machine) const;
   bool isUnrecorded(const Machine& machine) const;
+  void updateAckedBeforeLeadership(const ZoneId& zone, Instant bound, Instant now);
+  std::optional<Instant> silentBeforeLeadership(const ZoneId& zone) const;
+  Duration zoneSilence(int machines) const;
   void giveUp(Machine& machine, const TerminationVerdict& verdict);
   void countLoss(MachineLoss loss);
 
@@ -167,6 +177,8 @@
   std::set<MachineId> unrecorded_;
   std::set<MachineId> cordoned_;
   std::map<ZoneId, Instant> suspectedSince_;  ///< as an earlier leader recorded it
+  std::map<ZoneId, Instant> zoneAckBounds_;
+  std::map<ZoneId, Instant> ackedBeforeLeadership_;
   FailureAttribution failureAttribution_;
   std::uint32_t lost_ = 0;
   std::uint32_t neverBooted_ = 0;
--- a/src/fleet/fleet_test.cpp
+++ b/src/fleet/fleet_test.cpp
@@ -62,6 +62,136 @@
   EXPECT_EQ(givenUp(65000), 37U);
 }
 
+// A zone of three machines with tasks that the new leader never hears, beside one that reports.
+struct UnheardZone : testing::Test {
+  Platform platform;
+  Replica replica;
+  std::unique_ptr<Fleet> fleet;
+  const ZoneId zoneA{"a"}, zoneC{"c"};
+  static constexpr std::int64_t kElectedAt = 100000;
+
+  UnheardZone() {
+    platform.reportEvery = Duration{1000};
+    platform.workerLease = Duration{11000};
+    platform.cancelWithin = Duration{41000};
+    platform.zones = {zoneA, ZoneId{"b"}, zoneC};
+    platform.peers.resize(1);
+    addRental("a", 5);
+    addRental("c", 3);
+    JobRecord job;
+    auto spec = std::make_shared<JobSpec>();
+    spec->id = JobId{"j-000001"};
+    spec->tasks = 8;
+    job.spec = spec;
+    job.chunkSize = 8;
+    replica.apply({keys::job(spec->id), toJson(job), Revision{3}});
+    TaskChunkRecord tasks;
+    for (std::uint32_t i = 0; i < 5; ++i) tasks.placed[i] = on("a", i);
+    for (std::uint32_t i = 0; i < 3; ++i) tasks.placed[5 + i] = on("c", i);
+    replica.apply({keys::tasks(spec->id, 0), toJson(tasks), Revision{4}});
+    fleet = std::make_unique<Fleet>(platform, replica, FencingToken{5}, Instant{kElectedAt});
+    fleet->adoptRecords(Instant{kElectedAt}, 0);
+  }
+  static MachineId name(const std::string& zone, std::uint32_t i) {
+    return MachineId{"host-" + zone + std::to_string(i)};
+  }
+  static TaskPlacement on(const std::string& zone, std::uint32_t i) {
+    return {name(zone, i), WorkerEpoch{1}, Attempt{1}};
+  }
+  void addRental(const std::string& zone, std::uint32_t machines) {
+    RentalRecord rental;
+    rental.id = RentalId{"r-" + zone};
+    rental.type = TypeId{"box"};
+    rental.zone = ZoneId{zone};
+    rental.answered = true;
+    for (std::uint32_t i = 0; i < machines; ++i) rental.machines.push_back({name(zone, i), false});
+    replica.apply({keys::rental(rental.id), toJson(rental), Revision{1}});
+  }
+  void hear(const std::string& zone, std::uint32_t i, std::int64_t atMs) {
+    Report report;
+    report.machine = name(zone, i);
+    report.type = TypeId{"box"};
+    report.zone = ZoneId{zone};
+    report.workerEpoch = WorkerEpoch{1};
+    report.sequence = ReportSequence{static_cast<std::uint64_t>(atMs)};
+    report.token = FencingToken{5};
+    fleet->applyReport(report, Instant{atMs}, true);
+  }
+  // Zone a reports; `acknowledged`: until when any controller acknowledged zone c, if known.
+  std::size_t givenUpAt(std::int64_t atMs, std::optional<std::int64_t> acknowledged) {
+    for (std::uint32_t i = 0; i < 5; ++i) hear("a", i, atMs - 200);
+    std::map<ZoneId, Instant> bounds{{zoneA, Instant{atMs - 200}}};
+    if (acknowledged) bounds[zoneC] = Instant{*acknowledged};
+    fleet->setZoneAckBounds(bounds, Instant{atMs});
+    fleet->detectFailures(Instant{atMs}, nullptr, [](const ZoneId&) { return false; });
+    return fleet->terminating().size();
+  }
+};
+
+TEST_F(UnheardZone, IsGivenUpWhenItsLeasesAreOver) {
+  EXPECT_EQ(givenUpAt(kElectedAt + 4000, kElectedAt - 7500), 0U);
+  EXPECT_EQ(givenUpAt(kElectedAt + 4600, kElectedAt - 7500), 3U);
+}
+
+TEST_F(UnheardZone, OfOneMachineIsGivenUpLikewise) {
+  for (std::uint32_t i = 1; i < 3; ++i) fleet->onReleased(name("c", i), Instant{kElectedAt});
+  EXPECT_EQ(givenUpAt(kElectedAt + 4000, kElectedAt - 7500), 0U);
+  EXPECT_EQ(givenUpAt(kElectedAt + 4600, kElectedAt - 7500), 1U);
+}
+
+TEST_F(UnheardZone, HasAReportRoundToBeHeard) {
+  EXPECT_EQ(givenUpAt(kElectedAt + 2200, kElectedAt - 60000), 0U);
+  EXPECT_EQ(givenUpAt(kElectedAt + 2300, kElectedAt - 60000), 3U);
+}
+
+TEST_F(UnheardZone, CountsFromTheElectionWhereNothingOlderIsKnown) {
+  EXPECT_EQ(givenUpAt(kElectedAt + 15900, std::nullopt), 0U);
+  EXPECT_EQ(givenUpAt(kElectedAt + 16100, std::nullopt), 3U);  // a lease, 1 s, half a failover
+}
+
+TEST_F(UnheardZone, IsKeptWhileAControllerThatIsNotHeardMayAnswerThere) {
+  fleet->setZoneAckBounds({{zoneC, Instant{kElectedAt - 7500}}}, Instant{kElectedAt + 3000});
+  for (std::uint32_t i = 0; i < 5; ++i) hear("a", i, kElectedAt + 6000);
+  fleet->setZoneAckBounds({{zoneC, Instant{kElectedAt - 7500}}}, Instant{kElectedAt + 6000});
+  fleet->detectFailures(Instant{kElectedAt + 6000}, nullptr,
+                        [&](const ZoneId& zone) { return zone == zoneC; });
+  EXPECT_EQ(fleet->terminating().size(), 0U);
+}
+
+TEST_F(UnheardZone, IsKeptOnceAnAcknowledgementIsKnownThatThisLeaderDidNotGive) {
+  EXPECT_EQ(givenUpAt(kElectedAt + 3000, kElectedAt - 7500), 0U);
+  EXPECT_EQ(givenUpAt(kElectedAt + 6000, kElectedAt + 4000), 0U);  // by whom, for which machine?
+}
+
+TEST_F(UnheardZone, IsGivenUpAlthoughAMachineIsHeardThatCameLater) {
+  EXPECT_EQ(givenUpAt(kElectedAt + 3000, kElectedAt - 7500), 0U);
+  hear("c", 9, kElectedAt + 4000);
+  EXPECT_EQ(givenUpAt(kElectedAt + 4600, kElectedAt + 4000), 3U);
+}
+
+TEST_F(UnheardZone, IsOnRecordAsSilentForTheNextLeader) {
+  EXPECT_TRUE(fleet->suspectedZones(Instant{kElectedAt + 1000}).empty());
+  givenUpAt(kElectedAt + 3000, kElectedAt - 7500);
+  EXPECT_EQ(fleet->suspectedZones(Instant{kElectedAt + 3000}),
+            (std::map<ZoneId, Instant>{{zoneC, Instant{kElectedAt - 7500}}}));
+}
+
+TEST_F(UnheardZone, AsRecordedByTheLeaderBeforeStaysOnRecord) {
+  fleet->restoreSuspectedZone(zoneC, Instant{kElectedAt - 7500});
+  EXPECT_EQ(fleet->suspectedZones(Instant{kElectedAt + 1000}),
+            (std::map<ZoneId, Instant>{{zoneC, Instant{kElectedAt - 7500}}}));
+}
+
+// However few machines a zone has, it is on record as silent once each of them is overdue.
+TEST_F(UnheardZone, OfOneToThreeMachinesIsSuspectedOnceAllAreOverdue) {
+  for (std::uint32_t machines = 1; machines <= 3; ++machines) {
+    for (std::uint32_t i = 0; i < machines; ++i) hear("c", i, kElectedAt + 10000 * machines);
+    Instant last{kElectedAt + 10000 * machines};
+    EXPECT_FALSE(fleet->suspectedZones(last + Duration{2250}).contains(zoneC));
+    EXPECT_TRUE(fleet->suspectedZones(last + Duration{2251}).contains(zoneC));
+  }
+}
+
 // The sum of lease_renewal.hpp at the three paces: what is told a moment after the records' instant
 // is gone in time although the last report is answered at the last moment.
 TEST(LeaseRenewal, EndsSoEarlyThatTheLeaseIsOverInTime) {
--- a/src/leadership/leader_context.hpp
+++ b/src/leadership/leader_context.hpp
@@ -2,6 +2,7 @@
 /// callbacks that end with the leadership. It lives from the election to the step-down.
 #pragma once
 
+#include <map>
 #include <memory>
 
 #include "cloud/catalogue.hpp"
@@ -40,6 +41,9 @@
   std::function<bool(unsigned)> allMembersRead{};
   /// The time of day that the controllers agree on, in milliseconds since 1970.
   std::function<std::int64_t()> timeOfDay{};
+  /// Per zone, an instant after which no controller acknowledged a heartbeat from there, for the
+  /// zones of which that is known; see ZoneAckLog. A null function means none.
+  std::function<std::map<ZoneId, Instant>()> zoneAckBounds{};
   /// Called with the silence of each machine that is given up for it; may be null.
   std::function<void(Duration)> onGivenUpForSilence{};
   std::function<void(std::optional<Commit>)>
--- a/src/leadership/peer_membership.cpp
+++ b/src/leadership/peer_membership.cpp
@@ -11,6 +11,9 @@
 constexpr Duration kAtOnce{200};
 constexpr Duration kLongAgo{3600000};
 constexpr Duration kLongerThanARestart{10000};
+constexpr Duration kStatusTimeout{1000};
+constexpr const char* kStatusPath = "/mesh/hello";
+constexpr const char* kZoneAcksField = "zone_acks";
 }  // namespace
 
 Json toJson(const PeerStatus& s) {
@@ -25,10 +28,11 @@
             {"relays", s.supportsForwarding},
             {"wall_ms", s.wallMs}};
   if (s.newestCancellation) v["cancelled_at"] = s.newestCancellation->value;
+  if (s.zoneAcks) v[kZoneAcksField] = toJson(*s.zoneAcks);
   return v;
 }
 
-std::optional<PeerStatus> peerStatusFrom(const Json& v) {
+std::optional<PeerStatus> peerStatusFrom(const Json& v, const std::vector<ZoneId>& zones) {
   auto member = textField(v, "member");
   auto token = countField(v, "token");
   auto leading = boolField(v, "leading");
@@ -37,6 +41,7 @@
   if (!member || !token || !leading || !store || !workers) return std::nullopt;
   auto cancelled = countField(v, "cancelled_at");
   auto wall = static_cast<std::int64_t>(countField(v, "wall_ms").value_or(0));
+  const Json* zoneAcks = field(v, kZoneAcksField);
   return PeerStatus{
       MemberId{*member},
       FencingToken{*token},
@@ -49,11 +54,12 @@
       Duration{static_cast<std::int64_t>(countField(v, "cloud_age_ms").value_or(kLongAgo.count()))},
       wall,
       std::nullopt,
-      cancelled ? std::optional(Revision{*cancelled}) : std::nullopt};
+      cancelled ? std::optional(Revision{*cancelled}) : std::nullopt,
+      zoneAcks ? zoneAckReportFrom(*zoneAcks, zones) : std::nullopt};
 }
 
 PeerMembership::PeerMembership(Runtime& runtime, HttpClient& http, const Platform& platform)
-    : runtime_(runtime), http_(http), peers_(platform.peers) {}
+    : runtime_(runtime), http_(http), peers_(platform.peers), zones_(platform.zones) {}
 
 void PeerMembership::start(std::function<PeerStatus()> own, Duration every) {
   own_ = std::move(own);
@@ -66,25 +72,39 @@
     if (exchangeUnderWay_[peer.member]) continue;  // still waiting for its last answer
     exchangeUnderWay_[peer.member] = true;
     http_.send(
-        peer.address, {"POST", "/mesh/hello", encodeBody(toJson(own_()))}, Duration{1000},
+        peer.address, {"POST", kStatusPath, encodeBody(toJson(own_()))}, kStatusTimeout,
         [this, member = peer.member, asked = runtime_.now()](const std::optional<Response>& r) {
           exchangeUnderWay_[member] = false;
-          // A cut hangs; only a refusal fails at once.
-          Instant now = runtime_.now();
-          if (!r && now - asked < kAtOnce) {
-            refusals_.try_emplace(member, Refusals{now, now}).first->second.last = now;
-          }
-          if (!r || r->status != 200) return;
-          auto body = decodeBody(r->body);
-          auto s = body ? recordStatus(*body) : std::nullopt;
-          if (s && s->member == member && onAnswer) onAnswer(*s, asked);
+          onExchanged(member, asked, r);
         });
   }
   runtime_.after(every_, [this] { exchangeStatus(); });
 }
 
+void PeerMembership::announceStatus() {
+  if (!own_) return;
+  for (const auto& peer : peers_) {
+    http_.send(peer.address, {"POST", kStatusPath, encodeBody(toJson(own_()))}, kStatusTimeout,
+               [](const std::optional<Response>&) {});
+  }
+}
+
+void PeerMembership::onExchanged(const MemberId& peer, Instant asked,
+                                 const std::optional<Response>& response) {
+  // A cut hangs; only a refusal fails at once.
+  Instant now = runtime_.now();
+  if (!response && now - asked < kAtOnce) {
+    refusals_.try_emplace(peer, Refusals{now, now}).first->second.last = now;
+    if (onRefused) onRefused(peer);
+  }
+  if (!response || response->status != 200) return;
+  auto body = decodeBody(response->body);
+  auto s = body ? recordStatus(*body) : std::nullopt;
+  if (s && s->member == peer && onAnswer) onAnswer(*s, asked);
+}
+
 std::optional<PeerStatus> PeerMembership::recordStatus(const Json& body) {
-  auto s = peerStatusFrom(body);
+  auto s = peerStatusFrom(body, zones_);
   if (!s) return s;
   for (const auto& peer : peers_) {
     if (peer.member != s->member) continue;
@@ -92,14 +112,23 @@
     if (s->wallMs > 0) s->wallClockOffset = s->wallMs - runtime_.now().ms;
     statuses_[s->member] = {*s, runtime_.now()};
     refusals_.erase(s->member);
+    logMalformedZoneAcks(body, *s);
   }
   return s;
 }
 
+void PeerMembership::logMalformedZoneAcks(const Json& body, const PeerStatus& status) {
+  if (status.zoneAcks || !field(body, kZoneAcksField)) return;
+  if (!toldMalformedZoneAcks_.insert(status.member).second) return;
+  logInfo("peer's times of acknowledged heartbeats are malformed and left out", "peer",
+          status.member);
+}
+
 Response PeerMembership::onStatusRequest(const Request& request) {
   auto body = decodeBody(request.body);
   if (!body) return jsonResponse(400, {{"error", "not CBOR"}});
-  recordStatus(*body);
+  auto status = recordStatus(*body);
+  if (status && onAnnouncement) onAnnouncement(*status);
   return jsonResponse(200, toJson(own_()));
 }
 
--- a/src/leadership/peer_membership.hpp
+++ b/src/leadership/peer_membership.hpp
@@ -4,9 +4,11 @@
 
 #include <functional>
 #include <map>
+#include <set>
 
 #include "base/runtime.hpp"
 #include "config/platform.hpp"
+#include "connectivity/zone_ack_log.hpp"
 
 namespace kestrelhoist {
 
@@ -32,10 +34,14 @@
   /// The newest revision of any cancellation in its records (CancellationBarrier); empty while its
   /// records are incomplete.
   std::optional<Revision> newestCancellation = std::nullopt;
+  /// What it knows of acknowledged heartbeats by zone; empty: its version does not tell, or what it
+  /// told is malformed.
+  std::optional<ZoneAckReport> zoneAcks = std::nullopt;
 };
 
 Json toJson(const PeerStatus& s);
-std::optional<PeerStatus> peerStatusFrom(const Json& v);
+/// `zones` are those of the settings: a ZoneAckReport that names another is left out.
+std::optional<PeerStatus> peerStatusFrom(const Json& v, const std::vector<ZoneId>& zones = {});
 
 /// Exchanges status with all peers and keeps the newest status of each. Single-threaded.
 class PeerMembership {
@@ -45,6 +51,8 @@
   /// Sends `own()` to every peer at the given interval, from now on.
   void start(std::function<PeerStatus()> own, Duration every);
   Response onStatusRequest(const Request& request);
+  /// Sends `own()` to every peer now, besides the regular exchange.
+  void announceStatus();
   /// Asks the leader to read the change feed at once.
   void notifyLeader(const MemberId& leader);
   /// Sends a request to a peer's mesh address. An unknown peer yields no response.
@@ -71,13 +79,21 @@
 
   /// Called with each peer's answer to a status request that was sent at `asked`.
   std::function<void(const PeerStatus&, Instant asked)> onAnswer;
+  /// Called with each status that a peer sent unasked.
+  std::function<void(const PeerStatus&)> onAnnouncement;
+  /// Called when a peer refuses a connection.
+  std::function<void(const MemberId&)> onRefused;
 
  private:
   void exchangeStatus();
+  void onExchanged(const MemberId& peer, Instant asked, const std::optional<Response>& response);
   std::optional<PeerStatus> recordStatus(const Json& body);
+  void logMalformedZoneAcks(const Json& body, const PeerStatus& status);
   Runtime& runtime_;
   HttpClient& http_;
   std::vector<Peer> peers_;
+  std::vector<ZoneId> zones_;
+  std::set<MemberId> toldMalformedZoneAcks_;
   std::map<MemberId, std::pair<PeerStatus, Instant>> statuses_;
   std::map<MemberId, bool> exchangeUnderWay_;
   struct Refusals {
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -104,7 +104,7 @@
 
 TEST_P(ScenarioTest, KeepsTheRules) {
   const char* level = std::getenv("LOG_LEVEL");
-  if (!level) spdlog::set_level(spdlog::level::off);
+  spdlog::set_level(level ? spdlog::level::from_str(level) : spdlog::level::off);
   Scenario(linesOf(GetParam().file, GetParam().chosen), GetParam().seed).run();
 }
 
