Failures: a suspect job that fails on one machine alone is tried on another

Cause: its trials went to the one machine that was left, which erred: machines on which it failed are only avoided while there is any other, the others had been given back as idle, its two waiting tasks fit on that one, so none was rented, and what a suspect job fails is not charged to a machine. Change: after two rounds that failed on one machine alone the job's next trial must be elsewhere, for up to 120 s beyond its pause; what is free on the excluded machine counts as booked in the demand, so that another is rented; demandNow is split into named steps.

--- a/src/cloud/demand.cpp
+++ b/src/cloud/demand.cpp
@@ -1,6 +1,8 @@
 #include "cloud/demand.hpp"
 
+#include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace kestrelhoist {
 namespace {
@@ -47,6 +49,63 @@
   return left.size() < type.zones.size() ? left : std::set<ZoneId>{};
 }
 
+using DemandByType = std::map<TypeId, TypeDemand>;
+
+void addBooked(TypeDemand& demand, double share, bool spotAllowed, bool onSpot) {
+  if (!spotAllowed) {
+    demand.firmBooked += share;
+  } else if (onSpot) {
+    demand.flexibleOnSpot += share;
+  } else {
+    demand.flexibleOnOrdinary += share;
+  }
+}
+
+// What is booked on machines, leaving out tasks that are known to have ended.
+void addBookedResources(const LeaderContext& context, const Fleet& fleet, DemandByType& demand) {
+  for (const auto& [id, record] : context.replica.machines()) {
+    const MachineType* type = context.catalogue->find(record.type);
+    if (!type) continue;
+    const Machine* machine = fleet.find(id);
+    for (const auto& task : record.tasks) {
+      if (!task.job->record.spec || (machine && machine->session.outcomes.contains(task.id)))
+        continue;
+      const JobSpec& spec = *task.job->record.spec;
+      addBooked(demand[type->id], spec.perTask.shareOf(type->capacity), spec.spotAllowed,
+                record.spot);
+    }
+  }
+}
+
+void addWaiting(const LeaderContext& context, Fleet& fleet, const JobState& job,
+                std::uint32_t tasks, DemandByType& demand) {
+  const JobSpec& spec = *job.record.spec;
+  const MachineType* best = cheapest(*context.catalogue, spec.perTask, &spec);
+  if (!best) return;
+  TypeDemand& ofType = demand[best->id];
+  const double share = machinesFor(*best, spec.perTask, tasks);
+  (spec.spotAllowed ? ofType.flexibleWaiting : ofType.firmWaiting) += share;
+  if (auto zones = zonesLeft(context, fleet, job, *best); !zones.empty()) {
+    ofType.pinnedWaiting[zones] += share;
+  }
+}
+
+// A job's next trial must not go to the machine that it excludes, so what is free there is no room
+// for it: counted as booked, so that another machine is rented.
+void addExcludedMachine(const LeaderContext& context, const Fleet& fleet, const JobSpec& spec,
+                        std::set<MachineId>& counted, DemandByType& demand) {
+  auto excluded = fleet.failureAttribution().excludes(spec.id, context.runtime.now());
+  if (!excluded || !counted.insert(*excluded).second) return;
+  const auto* record = context.replica.machine(*excluded);
+  const MachineType* type = record ? context.catalogue->find(record->type) : nullptr;
+  if (!type) return;
+  double free = 1;
+  for (const auto& task : record->tasks) {
+    if (task.job->record.spec) free -= task.job->record.spec->perTask.shareOf(type->capacity);
+  }
+  addBooked(demand[type->id], std::max(0.0, free), spec.spotAllowed, record->spot);
+}
+
 }  // namespace
 
 std::map<TypeId, MachineDemand> demandInMachines(const Catalogue& catalogue,
@@ -61,40 +120,17 @@
   return out;
 }
 
-std::map<TypeId, TypeDemand> demandNow(const LeaderContext& context, Fleet& fleet,
-                                       const std::map<JobId, std::uint32_t>& unplaced) {
-  std::map<TypeId, TypeDemand> demand;
+DemandByType demandNow(const LeaderContext& context, Fleet& fleet,
+                       const std::map<JobId, std::uint32_t>& unplaced) {
+  DemandByType demand;
   for (const auto& type : context.catalogue->types) demand[type.id];
-  for (const auto& [id, record] : context.replica.machines()) {
-    const MachineType* type = context.catalogue->find(record.type);
-    if (!type) continue;
-    auto& d = demand[type->id];
-    const Machine* m = fleet.find(id);
-    for (const auto& t : record.tasks) {
-      if (!t.job->record.spec || (m && m->session.outcomes.contains(t.id))) continue;
-      const JobSpec& spec = *t.job->record.spec;
-      double share = spec.perTask.shareOf(type->capacity);
-      if (!spec.spotAllowed) {
-        d.firmBooked += share;
-      } else if (record.spot) {
-        d.flexibleOnSpot += share;
-      } else {
-        d.flexibleOnOrdinary += share;
-      }
-    }
-  }
-  for (const auto& [id, count] : unplaced) {
+  addBookedResources(context, fleet, demand);
+  std::set<MachineId> excluded;
+  for (const auto& [id, tasks] : unplaced) {
     const auto* job = context.replica.job(id);
     if (!job || !job->active() || !job->record.spec) continue;
-    const JobSpec& spec = *job->record.spec;
-    const MachineType* best = cheapest(*context.catalogue, spec.perTask, &spec);
-    if (!best) continue;
-    auto& d = demand[best->id];
-    double share = machinesFor(*best, spec.perTask, count);
-    (spec.spotAllowed ? d.flexibleWaiting : d.firmWaiting) += share;
-    if (auto zones = zonesLeft(context, fleet, *job, *best); !zones.empty()) {
-      d.pinnedWaiting[zones] += share;
-    }
+    addWaiting(context, fleet, *job, tasks, demand);
+    addExcludedMachine(context, fleet, *job->record.spec, excluded, demand);
   }
   return demand;
 }
--- a/src/failures/failure_attribution.cpp
+++ b/src/failures/failure_attribution.cpp
@@ -6,6 +6,8 @@
 namespace {
 constexpr Duration kFirstPause{1000};
 constexpr Duration kLongestPause{60000};
+// Long enough for another machine to be rented and to boot.
+constexpr Duration kExclusion{120000};
 
 Duration pauseOf(int rounds) {
   return std::min(kLongestPause, kFirstPause * (1 << std::clamp(rounds - 1, 0, 6)));
@@ -39,6 +41,7 @@
   if (ownWork) return charge(machine, kUnknownFailed);
   Trial& trial = trials_[job];
   trial.sound = sound_.contains(job);
+  if (trial.suspect) noteTrial(trial, machine, now >= trial.until);
   // What fails in one round counts once: an array's tasks all fail within moments.
   if (!trial.sound || trial.suspect || trial.failedOn.contains(machine)) {
     if (now >= trial.until) {
@@ -65,6 +68,25 @@
   }
 }
 
+void FailureAttribution::noteTrial(Trial& trial, const MachineId& machine, bool newRound) {
+  if (machine != trial.triedOn) {
+    trial.triedOn = machine;
+    trial.roundsOnOne = 1;
+  } else if (newRound) {
+    ++trial.roundsOnOne;
+  }
+}
+
+std::optional<MachineId> FailureAttribution::excludes(const JobId& job, Instant now) const {
+  auto it = trials_.find(job);
+  if (it == trials_.end() || !it->second.suspect) return std::nullopt;
+  const Trial& trial = it->second;
+  if (trial.roundsOnOne < kRoundsOnOneMachine || now > trial.until + kExclusion) {
+    return std::nullopt;
+  }
+  return trial.triedOn;
+}
+
 void FailureAttribution::forgetMachine(const MachineId& machine) {
   against_.erase(machine);
   for (auto& [job, trial] : trials_) trial.failedOn.erase(machine);
--- a/src/failures/failure_attribution.hpp
+++ b/src/failures/failure_attribution.hpp
@@ -38,6 +38,11 @@
   std::optional<Instant> pausedUntil(const JobId& job) const;
   /// Machines on which it failed and has not succeeded since: others tell more.
   std::vector<MachineId> avoids(const JobId& job) const;
+  /// A machine on which a suspect job must not be tried now. Its trials failed there alone for
+  /// several rounds, so whether the job or this machine is at fault can only be told elsewhere.
+  /// Ends after a while, so that a job for which there is no other machine is not left without
+  /// trials.
+  std::optional<MachineId> excludes(const JobId& job, Instant now) const;
 
   /// What outlives a leader, in the record of the windows: suspect jobs and their rounds. At most
   /// `most`, those of the longest pauses first.
@@ -58,6 +63,8 @@
   static constexpr std::size_t kRemembered = 16;  ///< machines of a job
   static constexpr std::uint32_t kTrials = 2;
   static constexpr int kMostRounds = 7;
+  /// Rounds of trials on one machine alone, until the next trial has to be on another.
+  static constexpr int kRoundsOnOneMachine = 2;
 
   struct Trial {
     bool sound{};  ///< has succeeded somewhere
@@ -65,8 +72,11 @@
     int rounds{};     ///< of failures since the last success
     Instant until{};  ///< no trial before
     std::map<MachineId, double>
-        failedOn{};  ///< since the last success, with what was charged for it
+        failedOn{};       ///< since the last success, with what was charged for it
+    MachineId triedOn{};  ///< the only machine of the last rounds of trials
+    int roundsOnOne{};    ///< how many rounds failed on `triedOn` alone
   };
+  static void noteTrial(Trial& trial, const MachineId& machine, bool newRound);
   void charge(const MachineId& machine, double weight);
 
   std::map<JobId, Trial> trials_;  ///< jobs with failures since their last success
--- a/src/failures/failure_attribution_test.cpp
+++ b/src/failures/failure_attribution_test.cpp
@@ -23,6 +23,34 @@
   EXPECT_LE(*e.pausedUntil(job(1)), at(12));
 }
 
+// A mended job was tried again and again on the one machine that was left, which erred, and its
+// user waited for ever (pipeline-faulty-machine).
+TEST(FailureAttribution, ASuspectJobThatFailsOnOneMachineAloneIsTriedElsewhereForAWhile) {
+  FailureAttribution e;
+  e.failed(job(1), machine(1), at(0), false);
+  e.failed(job(1), machine(2), at(0.1), false);  // suspect from here on
+  EXPECT_FALSE(e.excludes(job(1), at(1)));
+  e.failed(job(1), machine(1), at(10), false);
+  e.failed(job(1), machine(1), at(10.1), false);  // the same round
+  EXPECT_FALSE(e.excludes(job(1), at(11)));
+  e.failed(job(1), machine(1), at(30), false);
+  EXPECT_EQ(e.excludes(job(1), at(31)), machine(1));
+  EXPECT_EQ(e.excludes(job(1), *e.pausedUntil(job(1)) + Duration{119000}), machine(1));
+  EXPECT_FALSE(e.excludes(job(1), *e.pausedUntil(job(1)) + Duration{121000}));
+  e.failed(job(1), machine(3), at(100), false);
+  EXPECT_FALSE(e.excludes(job(1), at(101)));
+  e.succeeded(job(1), machine(3));
+  EXPECT_FALSE(e.excludes(job(1), at(102)));
+}
+
+TEST(FailureAttribution, AJobThatIsNotSuspectExcludesNoMachine) {
+  FailureAttribution e;
+  e.succeeded(job(1), machine(2));
+  for (int i = 0; i < 5; ++i) e.failed(job(1), machine(1), at(100 * i), false);
+  EXPECT_FALSE(e.suspect(job(1)));
+  EXPECT_FALSE(e.excludes(job(1), at(500)));
+}
+
 // Found on the operators' days: two mistaken jobs on one machine, with no success between, gave it
 // up.
 TEST(FailureAttribution, ManyMistakenJobsCondemnNoMachine) {
--- a/src/placement/job_placement.cpp
+++ b/src/placement/job_placement.cpp
@@ -40,6 +40,7 @@
 
 bool JobPlacement::allowed(std::size_t machineIndex) const {
   const auto& machine = input_.machines[machineIndex];
+  if (job_.excludedMachine == machineIndex) return false;
   if (machine.spot && !spec().spotAllowed) return false;
   if (!spec().allowsType(machine.type)) return false;
   if (job_.zone && *job_.zone != machine.zone) return false;
--- a/src/placement/plan_input_builder.cpp
+++ b/src/placement/plan_input_builder.cpp
@@ -221,6 +221,10 @@
         job.failedOn.insert(at->second);
       }
     }
+    if (auto id = fleet_.failureAttribution().excludes(job.spec->id, now_)) {
+      auto at = machineIndex_.find(*id);
+      if (at != machineIndex_.end()) job.excludedMachine = at->second;
+    }
   }
 }
 
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -75,8 +75,9 @@
   std::vector<std::uint32_t> perZone;             ///< tasks that may be on machines
   std::map<std::size_t, std::uint32_t> siblings;  ///< of a service: tasks by machine
   Revision modRevision;
-  bool suspect{};                  ///< fails wherever it goes: nobody is stopped for it
-  std::set<std::size_t> failedOn;  ///< machines: others tell more
+  bool suspect{};                              ///< fails wherever it goes: nobody is stopped for it
+  std::set<std::size_t> failedOn;              ///< machines: others tell more
+  std::optional<std::size_t> excludedMachine;  ///< see FailureAttribution::excludes()
 };
 
 /// All that a plan depends on.
