--- a/src/connectivity/zone_ack_log.cpp
+++ b/src/connectivity/zone_ack_log.cpp
@@ -118,7 +118,8 @@
 void ZoneAckLog::addUntold(const PeerView& view, Instant endedAt) {
   if (!view.knownUpTo) return;
   const bool longUnknown = endedAt - *view.knownUpTo > kPeerAnswersWithin;
-  for (const auto& [zone, ignored] : beforeStart_) {
+  for (const auto& entry : beforeStart_) {
+    const ZoneId& zone = entry.first;
     auto newest = newest_.find(zone);
     const bool wasRecent =
         newest != newest_.end() && *view.knownUpTo - newest->second <= kAnnouncedAfter;
@@ -136,14 +137,18 @@
   return now - *view.knownUpTo <= kPeerAnswersWithin;
 }
 
+bool ZoneAckLog::coversAllPeers(const ZoneId& zone, Instant now,
+                                const std::function<bool(const MemberId&)>& mayBeAlive) const {
+  return std::all_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    return coversPeer(entry.second, entry.first, zone, now, mayBeAlive);
+  });
+}
+
 std::map<ZoneId, Instant> ZoneAckLog::bounds(
     Instant now, const std::function<bool(const MemberId&)>& mayBeAlive) const {
   std::map<ZoneId, Instant> out;
   for (const auto& [zone, before] : beforeStart_) {
-    const bool covered = std::all_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
-      return coversPeer(entry.second, entry.first, zone, now, mayBeAlive);
-    });
-    if (!covered) continue;
+    if (!coversAllPeers(zone, now, mayBeAlive)) continue;
     auto newest = newest_.find(zone);
     out[zone] = newest == newest_.end() ? before : std::max(before, newest->second);
   }
--- a/src/connectivity/zone_ack_log.hpp
+++ b/src/connectivity/zone_ack_log.hpp
@@ -27,6 +27,7 @@
   std::map<ZoneId, Duration> boundAges;
 };
 
+/// The form in which peers are told.
 Json toJson(const ZoneAckReport& report);
 /// Empty if anything is missing, of the wrong type or negative, or names a zone that is not in
 /// `zones`: such a report counts as a whole or not at all.
@@ -78,6 +79,8 @@
   void addUntold(const PeerView& view, Instant endedAt);
   bool coversPeer(const PeerView& view, const MemberId& peer, const ZoneId& zone, Instant now,
                   const std::function<bool(const MemberId&)>& mayBeAlive) const;
+  bool coversAllPeers(const ZoneId& zone, Instant now,
+                      const std::function<bool(const MemberId&)>& mayBeAlive) const;
 
   const Instant startedAt_;
   std::map<MemberId, PeerView> peers_;
