Read once more: one walk for a record's silent zones, one piece for what stood twice; behaviour unchanged

Cause: a write of the forecast record walked all machines twice for the same zones; each detection pass walked them for every zone, also where there is nothing to drop; the request of a status exchange, the function for peers that may be running and the set-up of two image tests stood twice. Change: the zones are passed on, the walk is left out where it changes nothing, sendStatus, peerMayBeAlive and imagesAfterEnd; isRented asks releasedAt. Assertions of the tests as they were.

--- a/simulator/model/simulated_region.cpp
+++ b/simulator/model/simulated_region.cpp
@@ -34,8 +34,7 @@
 }
 
 bool SimulatedRegion::isRented(const std::string& host) const {
-  auto it = hosts_.find(host);
-  return it != hosts_.end() && it->second.goneAt < 0;
+  return hosts_.contains(host) && !releasedAt(host);
 }
 
 std::optional<std::int64_t> SimulatedRegion::releasedAt(const std::string& host) const {
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -102,6 +102,8 @@
   /// controller_peer_api.cpp
   bool onMeshService(const Request& request, const Respond& respond);
   PeerStatus status() const;
+  /// PeerMembership::mayBeAlive() as a function of the peer.
+  std::function<bool(const MemberId&)> peerMayBeAlive() const;
   /// Per zone, an instant after which no controller acknowledged a heartbeat; see ZoneAckLog.
   std::map<ZoneId, Instant> zoneAckBounds() const;
   /// The median time of day of this controller and its peers, in milliseconds since 1970.
--- a/src/app/controller_peer_api.cpp
+++ b/src/app/controller_peer_api.cpp
@@ -82,17 +82,19 @@
   s.wallMs = runtime_.wallMillis();
   s.workersAge = std::min(Duration{3600000}, std::max(Duration{0}, runtime_.now() - lastWorker_));
   if (watcher_.loaded()) s.newestCancellation = replica_.newestCancellation();
-  s.zoneAcks = zoneAcks_.report(
-      runtime_.now(), [this](const MemberId& peer) { return peerMembership_.mayBeAlive(peer); });
+  s.zoneAcks = zoneAcks_.report(runtime_.now(), peerMayBeAlive());
   s.ready = watcher_.loaded() && jobs_.catalogue() != nullptr;
   s.hasLostWorkers = leader_ && reportingMachines() > 0 &&
                      s.workersAge > platform_.reportEvery * 3 / 2 + Duration{500};
   return s;
 }
 
+std::function<bool(const MemberId&)> Controller::peerMayBeAlive() const {
+  return [this](const MemberId& peer) { return peerMembership_.mayBeAlive(peer); };
+}
+
 std::map<ZoneId, Instant> Controller::zoneAckBounds() const {
-  return zoneAcks_.bounds(
-      runtime_.now(), [this](const MemberId& peer) { return peerMembership_.mayBeAlive(peer); });
+  return zoneAcks_.bounds(runtime_.now(), peerMayBeAlive());
 }
 
 // The middle of what this controller's clock and its peers' say: one whose clock steps by minutes
--- a/src/cloud/forecast_loop.cpp
+++ b/src/cloud/forecast_loop.cpp
@@ -27,11 +27,10 @@
   if (context_.catalogue && !context_.replica.catalogue())
     set(keys::kCatalogue, kestrelhoist::toJson(*context_.catalogue));
   if (dirty_) {
-    set(keys::kForecast, fitting(context_.platform.valueBytes));
+    const auto suspected = fleet_.suspectedZones(context_.runtime.now());
+    set(keys::kForecast, fitting(context_.platform.valueBytes, suspected));
     recordedSuspects_.clear();
-    for (const auto& [zone, at] : fleet_.suspectedZones(context_.runtime.now())) {
-      recordedSuspects_.insert(zone);
-    }
+    for (const auto& [zone, at] : suspected) recordedSuspects_.insert(zone);
     dirty_ = false;
   }
   if (t.writes.empty()) return LoopStep::idle();
@@ -74,8 +73,8 @@
 }
 
 // With less of what a new leader can learn again: first suspects, then types' series.
-Json ForecastLoop::fitting(std::size_t bytes) const {
-  Json value = toJson();
+Json ForecastLoop::fitting(std::size_t bytes, const std::map<ZoneId, Instant>& suspected) const {
+  Json value = toJson(suspected);
   for (const char* list : {"suspect", "types"}) {
     while (value.dump().size() >= bytes && !value[list].empty()) {
       Json& entries = value[list];
@@ -86,7 +85,7 @@
   return value;
 }
 
-Json ForecastLoop::toJson() const {
+Json ForecastLoop::toJson(const std::map<ZoneId, Instant>& suspected) const {
   Json types = Json::object();
   for (const auto& [type, series] : forecasts_.series) {
     types[type.value] = {{"firm", series.firm.toJson()}, {"flexible", series.flexible.toJson()}};
@@ -96,7 +95,7 @@
   // the next leader gave them up).
   Instant now = context_.runtime.now();
   Json silent = Json::object();
-  for (const auto& [zone, at] : fleet_.suspectedZones(now)) {
+  for (const auto& [zone, at] : suspected) {
     silent[zone.value] = context_.runtime.wallMillis() - (now - at).count();
   }
   // Jobs that fail wherever they go: a new leader need not learn it again at their full width.
--- a/src/cloud/forecast_loop.hpp
+++ b/src/cloud/forecast_loop.hpp
@@ -30,8 +30,9 @@
   void turn();
   /// Whether zones fell silent, or came back, since the record was last written.
   bool suspectedZonesChanged() const;
-  Json toJson() const;
-  Json fitting(std::size_t bytes) const;
+  /// The record, which names these zones as silent since then.
+  Json toJson(const std::map<ZoneId, Instant>& suspected) const;
+  Json fitting(std::size_t bytes, const std::map<ZoneId, Instant>& suspected) const;
 
   LeaderContext& context_;
   Fleet& fleet_;
--- a/src/connectivity/zone_ack_log.hpp
+++ b/src/connectivity/zone_ack_log.hpp
@@ -6,7 +6,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 
 #include "base/runtime.hpp"
 #include "config/platform.hpp"
--- a/src/connectivity/zone_ack_log_test.cpp
+++ b/src/connectivity/zone_ack_log_test.cpp
@@ -6,6 +6,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace kestrelhoist {
 namespace {
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -277,6 +277,7 @@
     if (now - leaderSince_ >= kEndedPeersNoticed) ackedBeforeLeadership_[zone] = bound;
     return;
   }
+  if (!ackedBeforeLeadership_.contains(zone)) return;
   const bool receivedHere = std::any_of(machines_.begin(), machines_.end(), [&](const auto& entry) {
     const Machine& machine = entry.second;
     return machine.zone == zone && machine.hasReported() &&
--- a/src/fleet/fleet_test.cpp
+++ b/src/fleet/fleet_test.cpp
@@ -117,6 +117,17 @@
     report.token = FencingToken{5};
     fleet->applyReport(report, Instant{atMs}, true);
   }
+  // The images of a machine of which only a task that has ended is known.
+  const ImageCache& imagesAfterEnd(EndCause cause) {
+    Report report;
+    report.machine = name("a", 0);
+    report.zone = zoneA;
+    report.workerEpoch = WorkerEpoch{1};
+    report.sequence = ReportSequence{1};
+    report.tasks.push_back({{{JobId{"j-000001"}, 0}, Attempt{1}}, TaskState::ended, cause});
+    fleet->applyReport(report, Instant{kElectedAt + 100}, true);
+    return fleet->find(report.machine)->images;
+  }
   // Zone a reports; `acknowledged`: until when any controller acknowledged zone c, if known.
   std::size_t givenUpAt(std::int64_t atMs, std::optional<std::int64_t> acknowledged) {
     for (std::uint32_t i = 0; i < 5; ++i) hear("a", i, atMs - 200);
@@ -197,28 +208,13 @@
 // found one and stayed at one (policy-restart, 37 of 80 worlds: in part of them the log shows "task
 // is running task=j-000003/0" before the last "became leader" only).
 TEST_F(UnheardZone, AMachineHoldsTheImageOfATaskThatHasEndedThere) {
-  Report report;
-  report.machine = name("a", 0);
-  report.zone = zoneA;
-  report.workerEpoch = WorkerEpoch{1};
-  report.sequence = ReportSequence{1};
-  report.tasks.push_back({{{JobId{"j-000001"}, 0}, Attempt{1}}, TaskState::ended, EndCause::done});
-  fleet->applyReport(report, Instant{kElectedAt + 100}, true);
-  const ImageCache& images = fleet->find(report.machine)->images;
+  const ImageCache& images = imagesAfterEnd(EndCause::done);
   ASSERT_EQ(std::distance(images.begin(), images.end()), 1);
   EXPECT_TRUE(images.begin()->fetched);
 }
 
 TEST_F(UnheardZone, AMachineNeedNotHoldTheImageOfATaskThatWasStopped) {
-  Report report;
-  report.machine = name("a", 0);
-  report.zone = zoneA;
-  report.workerEpoch = WorkerEpoch{1};
-  report.sequence = ReportSequence{1};
-  report.tasks.push_back(
-      {{{JobId{"j-000001"}, 0}, Attempt{1}}, TaskState::ended, EndCause::stopped});
-  fleet->applyReport(report, Instant{kElectedAt + 100}, true);
-  const ImageCache& images = fleet->find(report.machine)->images;
+  const ImageCache& images = imagesAfterEnd(EndCause::stopped);
   EXPECT_EQ(images.begin(), images.end());
 }
 
--- a/src/leadership/peer_membership.cpp
+++ b/src/leadership/peer_membership.cpp
@@ -71,12 +71,11 @@
   for (const auto& peer : peers_) {
     if (exchangeUnderWay_[peer.member]) continue;  // still waiting for its last answer
     exchangeUnderWay_[peer.member] = true;
-    http_.send(
-        peer.address, {"POST", kStatusPath, encodeBody(toJson(own_()))}, kStatusTimeout,
-        [this, member = peer.member, asked = runtime_.now()](const std::optional<Response>& r) {
-          exchangeUnderWay_[member] = false;
-          onExchanged(member, asked, r);
-        });
+    sendStatus(peer, [this, member = peer.member,
+                      asked = runtime_.now()](const std::optional<Response>& r) {
+      exchangeUnderWay_[member] = false;
+      onExchanged(member, asked, r);
+    });
   }
   runtime_.after(every_, [this] { exchangeStatus(); });
 }
@@ -84,11 +83,15 @@
 void PeerMembership::announceStatus() {
   if (!own_) return;
   for (const auto& peer : peers_) {
-    http_.send(peer.address, {"POST", kStatusPath, encodeBody(toJson(own_()))}, kStatusTimeout,
-               [](const std::optional<Response>&) {});
+    sendStatus(peer, [](const std::optional<Response>&) {});
   }
 }
 
+void PeerMembership::sendStatus(const Peer& peer, OnReply done) {
+  http_.send(peer.address, {"POST", kStatusPath, encodeBody(toJson(own_()))}, kStatusTimeout,
+             std::move(done));
+}
+
 void PeerMembership::onExchanged(const MemberId& peer, Instant asked,
                                  const std::optional<Response>& response) {
   // A cut hangs; only a refusal fails at once.
--- a/src/leadership/peer_membership.hpp
+++ b/src/leadership/peer_membership.hpp
@@ -86,6 +86,7 @@
 
  private:
   void exchangeStatus();
+  void sendStatus(const Peer& peer, OnReply done);
   void onExchanged(const MemberId& peer, Instant asked, const std::optional<Response>& response);
   std::optional<PeerStatus> recordStatus(const Json& body);
   void logMalformedZoneAcks(const Json& body, const PeerStatus& status);
