Connectivity: WorkerTransport in files of its own

heartbeat_forwarder held two classes: the queue of forwarded heartbeats and the requests to workers. Behaviour unchanged.

--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -9,6 +9,7 @@
 #include "connectivity/heartbeat_route.hpp"
 #include "connectivity/peer_proxy.hpp"
 #include "connectivity/redirect_canary.hpp"
+#include "connectivity/worker_transport.hpp"
 #include "flows/service.hpp"
 #include "jobs/service.hpp"
 #include "leadership/cancellation_barrier.hpp"
--- a/src/connectivity/connectivity_test.cpp
+++ b/src/connectivity/connectivity_test.cpp
@@ -4,6 +4,7 @@
 #include "connectivity/heartbeat_forwarder.hpp"
 #include "connectivity/heartbeat_route.hpp"
 #include "connectivity/peer_proxy.hpp"
+#include "connectivity/worker_transport.hpp"
 #include "sim/virtual_time.hpp"
 
 namespace kestrelhoist {
