Scenarios: how slow a slow link is, and how long until replicas are back

slowness S sets what links in mode slow add (3 s, as before); recover ID N most S lets time pass until N replicas run and fails beyond S. Existing worlds play as before.

--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -71,6 +71,7 @@
 
       {"cut", &Scenario::cutController},
       {"link", &Scenario::cutLink},
+      {"slowness", &Scenario::setSlowness},
       {"flap", &Scenario::flapLink},
       {"cutzone", &Scenario::cutZoneOff},
       {"cutmachine", &Scenario::cutMachine},
@@ -92,6 +93,7 @@
       {"mark", &Scenario::markController},
       {"markzone", &Scenario::markMachinesOfZone},
       {"watch", &Scenario::watchJob},
+      {"recover", &Scenario::awaitRecovery},
       {"expect", &Scenario::expect},
   };
   return steps;
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -61,6 +61,7 @@
   // The network and the machines (scenario_steps_machines.cpp).
   void cutController(const Line& line);
   void cutLink(const Line& line);
+  void setSlowness(const Line& line);
   void flapLink(const Line& line);
   void cutZoneOff(const Line& line);
   void cutMachine(const Line& line);
@@ -83,6 +84,7 @@
   void markController(const Line& line);
   void markMachinesOfZone(const Line& line);
   void watchJob(const Line& line);
+  void awaitRecovery(const Line& line);
 };
 
 }  // namespace kestrelhoist::sim
--- a/tests/scenario_faults.cpp
+++ b/tests/scenario_faults.cpp
@@ -33,6 +33,8 @@
                                                                {"gap", {1}},
                                                                {"late_writes", {1, 2}},
                                                                {"slow", {2, 3}},
+                                                               {"slowness", {1}},
+                                                               {"recover", {2, 4}},
                                                                {"held", {1, 2, 3}},
                                                                {"meet", {2}},
                                                                {"pipelines", {1, 2}},
--- a/tests/scenario_steps_machines.cpp
+++ b/tests/scenario_steps_machines.cpp
@@ -17,6 +17,11 @@
   link(nodeOf(words.at(1)), words.at(3), words.at(4), toMilliseconds(words.at(5)));
 }
 
+// slowness SECONDS: what links in mode slow add, there and back
+void Scenario::setSlowness(const Line& line) {
+  world_->network.slowMs = toMilliseconds(line.words.at(1)) / 2;
+}
+
 // flap NODE to GROUP MODE EVERY DOWN TIMES: who it is then
 void Scenario::flapLink(const Line& line) {
   const auto& words = line.words;
--- a/tests/scenario_steps_output.cpp
+++ b/tests/scenario_steps_output.cpp
@@ -67,4 +67,19 @@
   leadershipsBefore_ = world_->leaderships;
 }
 
+// recover ID N most S: time passes until N replicas run, at most S seconds
+void Scenario::awaitRecovery(const Line& line) {
+  constexpr double kStepS = 0.1;
+  const std::string& id = line.words.at(1);
+  const int replicas = std::stoi(line.words.at(2));
+  const double begun = world_->now();
+  const double most = std::stod(line.words.at(4));
+  while (world_->runningReplicas(id) < replicas && world_->now() - begun < most) {
+    world_->runFor(kStepS);
+  }
+  EXPECT_EQ(world_->runningReplicas(id), replicas) << "after " << most << " s";
+  std::cout << "  " << id << ": " << world_->runningReplicas(id) << " replicas after "
+            << world_->now() - begun << " s\n";
+}
+
 }  // namespace kestrelhoist::sim
--- a/tests/sim/virtual_time.hpp
+++ b/tests/sim/virtual_time.hpp
@@ -41,7 +41,7 @@
   std::uint64_t next_ = 0;
 };
 
-/// slow: messages take a second and a half longer.
+/// slow: messages take Network::slowMs longer.
 enum class CutMode { hold, drop, reset, slow };
 /// Which way a cut works, seen from its host.
 enum class CutWay { both, in, out };
@@ -105,6 +105,7 @@
   /// Each request as it is sent, and with the answer that it was given.
   std::function<void(const std::string& from, const Request& request)> onSent;
   std::function<void(const Request& request, const Response& answer)> onAnswered;
+  std::int64_t slowMs = 1500;  ///< on links in mode slow, each way
   std::int64_t slowState = 0;  ///< longer until an answer of the state service comes (ms)
 
   /// A copy of a request comes there; nobody hears its answer.
@@ -222,7 +223,7 @@
       if (const Cut* c = cutBetween(from, to)) {
         if (c->mode == CutMode::reset) return arrive(true);
         if (c->mode == CutMode::drop) return;
-        if (c->mode == CutMode::slow) return clock_.in(1500, [arrive] { arrive(false); });
+        if (c->mode == CutMode::slow) return clock_.in(slowMs, [arrive] { arrive(false); });
         clock_.at(c->until + latency(), [this, from, to, arrive] { travel(from, to, 0, arrive); });
         return;
       }
