Fleet: a leader that hears no worker allows for any controller that it does not hear

What callers saw: three machines of a small deployment were given up a lease after a cut, with their 8 production replicas each, while another controller answered their heartbeats.

Cause: with fewer than four machines a silent zone's lease counted as over after a lease and a second unless a controller *in that zone* might be alive. Where the leader hears no worker at all, what is cut may be its own link to all of them, and the controller that answers may be in any zone.

Change: while no worker reports and a peer that may be alive is not heard, the bound for renewing leases is added whatever zone the peer is in. Where all peers are heard nothing changes: they would pass reports on.

SilenceOfFew.* state both ways.

--- a/src/fleet/failure_detector.cpp
+++ b/src/fleet/failure_detector.cpp
@@ -250,13 +250,21 @@
   return timeout;
 }
 
+// Whether another controller may be answering workers of the zone without this leader's knowledge.
+// Where no worker at all is heard it need not be in the zone: what is cut may be this leader's own
+// link to all workers.
+bool FailureDetector::mayBeAnswered(const ZoneId& zone) const {
+  if (mayHaveActingLeader_(zone)) return true;
+  return counts_.reporting == 0 && peerUnheard_;
+}
+
 // A zone that is silent is most likely cut off and goes on working inside: its tasks run for as
 // long as their leases, which a controller there can keep up until the bound for unknown
 // cancellations.
 Duration FailureDetector::cutOffTimeout(const Machine& machine) const {
   constexpr Duration kMargin{1000};
   Duration timeout = platform_.workerLease + kMargin;
-  if (mayHaveActingLeader_(machine.zone)) timeout += renewal_.longest();
+  if (mayBeAnswered(machine.zone)) timeout += renewal_.longest();
   if (counts_.blind()) timeout = 2 * platform_.workerLease + renewal_.longest() + kMargin;
   return timeout;
 }
--- a/src/fleet/failure_detector.hpp
+++ b/src/fleet/failure_detector.hpp
@@ -92,6 +92,8 @@
   /// Whether this controller's own way to the workers is known to work. Where it is not, a silent
   /// worker may be trying several nodes that hang, one after the other.
   void setWorkersReachable(bool reachable) { workersReachable_ = reachable; }
+  /// Whether a peer that may be alive is not heard from here: it may be answering the workers.
+  void setPeerUnheard(bool unheard) { peerUnheard_ = unheard; }
 
  private:
   ReachabilityCounts countReachability() const;
@@ -103,6 +105,7 @@
   std::optional<TerminationVerdict> inspectUnheardZone(const Machine& machine) const;
   std::optional<TerminationVerdict> inspectSilence(const Machine& machine) const;
   bool mayBeCutOff(const Machine& machine) const;
+  bool mayBeAnswered(const ZoneId& zone) const;
   Duration silenceOf(const Machine& machine) const;
   struct Timeout {
     Duration duration{};
@@ -118,6 +121,7 @@
   const LeaseRenewal renewal_;
   const Instant leaderSince_;
   bool workersReachable_ = true;
+  bool peerUnheard_ = false;
   std::set<ZoneId> unreachableZones_;
   std::map<ZoneId, Instant> zoneLastUnreachableAt_;
 
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -140,6 +140,8 @@
                       const std::function<bool(const ZoneId&)>& mayHaveActingLeader);
   /// See FailureDetector::setWorkersReachable().
   void setWorkersReachable(bool reachable) { failureDetector_.setWorkersReachable(reachable); }
+  /// See FailureDetector::setPeerUnheard().
+  void setPeerUnheard(bool unheard) { failureDetector_.setPeerUnheard(unheard); }
   /// Zones from which hardly any machine reports that should.
   const std::set<ZoneId>& unreachableZones() const { return failureDetector_.unreachableZones(); }
   bool inUnreachableZone(const Machine& machine) const {
--- a/src/fleet/fleet_test.cpp
+++ b/src/fleet/fleet_test.cpp
@@ -62,6 +62,29 @@
   EXPECT_EQ(givenUp(65000), 37U);
 }
 
+// Three machines, all of them of this leader's own zone, that it no longer hears.
+struct SilenceOfFew : Silence {
+  static constexpr int kFew = 3;
+  static constexpr std::int64_t kHeardAt = 100000;
+  SilenceOfFew() {
+    for (int i = kFew; i < kMachines; ++i) fleet->onReleased(name(i), Instant{2000});
+    hear(kFew, kHeardAt);
+  }
+};
+
+// A leader that no worker reached gave up three machines after their lease, though a controller
+// that it did not hear answered them all the time (deaf-leaders-slow-few).
+TEST_F(SilenceOfFew, ThatAnUnheardPeerMayAnswerIsNoLossBeforeTheirLeasesCanEnd) {
+  fleet->setPeerUnheard(true);
+  EXPECT_EQ(givenUp(kHeardAt + 44000), 0U);  // a lease, the bound of 26.97 s and a second
+  EXPECT_EQ(givenUp(kHeardAt + 46000), 3U);
+}
+
+TEST_F(SilenceOfFew, WhileAllPeersAreHeardIsALossAfterALease) {
+  EXPECT_EQ(givenUp(kHeardAt + 18000), 0U);
+  EXPECT_EQ(givenUp(kHeardAt + 19000), 3U);
+}
+
 // A zone of three machines with tasks that the new leader never hears, beside one that reports.
 struct UnheardZone : testing::Test {
   Platform platform;
--- a/src/leadership/leader_context.hpp
+++ b/src/leadership/leader_context.hpp
@@ -45,6 +45,8 @@
   /// Per zone, an instant after which no controller acknowledged a heartbeat from there, for the
   /// zones of which that is known; see ZoneAckLog. A null function means none.
   std::function<std::map<ZoneId, Instant>()> zoneAckBounds{};
+  /// Whether a peer that may be alive has not been heard lately. A null function means no.
+  std::function<bool()> hasUnheardPeer{};
   /// Called with the silence of each machine that is given up for it; may be null.
   std::function<void(Duration)> onGivenUpForSilence{};
   std::function<void(std::optional<Commit>)>
