Forecast loop: silent zones are looked for in the detection pass

ForecastLoop::onTimer walked all machines four times a second for the zones that are silent. detectFailures, which walks them twice a second anyway, now leaves its result; what is recorded and what it is compared with are the same object. A zone's silence is recorded up to 250 ms later than before.

--- a/src/cloud/forecast_loop.cpp
+++ b/src/cloud/forecast_loop.cpp
@@ -27,7 +27,7 @@
   if (context_.catalogue && !context_.replica.catalogue())
     set(keys::kCatalogue, kestrelhoist::toJson(*context_.catalogue));
   if (dirty_) {
-    const auto suspected = fleet_.suspectedZones(context_.runtime.now());
+    const auto& suspected = fleet_.lastSuspectedZones();
     set(keys::kForecast, fitting(context_.platform.valueBytes, suspected));
     recordedSuspects_.clear();
     for (const auto& [zone, at] : suspected) recordedSuspects_.insert(zone);
@@ -38,7 +38,7 @@
 }
 
 bool ForecastLoop::suspectedZonesChanged() const {
-  const auto suspected = fleet_.suspectedZones(context_.runtime.now());
+  const auto& suspected = fleet_.lastSuspectedZones();
   return !std::equal(suspected.begin(), suspected.end(), recordedSuspects_.begin(),
                      recordedSuspects_.end(),
                      [](const auto& entry, const ZoneId& zone) { return entry.first == zone; });
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -389,6 +389,7 @@
       giveUp(machine, *verdict);
     }
   }
+  lastSuspectedZones_ = suspectedZones(now);
 }
 
 void Fleet::giveUp(Machine& machine, const TerminationVerdict& verdict) {
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -70,6 +70,8 @@
   /// explains, with the newest sign of life of any of them. Zones that this leader never heard are
   /// included if their silence is known from before.
   std::map<ZoneId, Instant> suspectedZones(Instant now) const;
+  /// The same as of the last detectFailures().
+  const std::map<ZoneId, Instant>& lastSuspectedZones() const { return lastSuspectedZones_; }
   /// An earlier leader found all machines of a zone silent since `at`.
   void restoreSuspectedZone(const ZoneId& zone, Instant at) { suspectedSince_[zone] = at; }
   /// Sets the instants after which no controller acknowledged a heartbeat of a zone; see
@@ -179,6 +181,7 @@
   std::set<MachineId> unrecorded_;
   std::set<MachineId> cordoned_;
   std::map<ZoneId, Instant> suspectedSince_;  ///< as an earlier leader recorded it
+  std::map<ZoneId, Instant> lastSuspectedZones_;
   std::map<ZoneId, Instant> zoneAckBounds_;
   std::map<ZoneId, Instant> ackedBeforeLeadership_;
   FailureAttribution failureAttribution_;
