--- a/src/fleet/failure_detector.cpp
+++ b/src/fleet/failure_detector.cpp
@@ -59,9 +59,9 @@
 }
 
 bool ReachabilityCounts::blind() const {
-  constexpr int kMany = 4;
-  constexpr int kTenth = 10;
-  return expected >= kMany && reporting * kTenth < expected;
+  constexpr int kFewestToJudgeBy = 4;         // machines
+  constexpr int kMachinesForEachReport = 10;  // that should report
+  return expected >= kFewestToJudgeBy && reporting * kMachinesForEachReport < expected;
 }
 
 FailureDetector::FailureDetector(const Fleet& fleet, const Platform& platform,
@@ -262,10 +262,10 @@
 // long as their leases, which a controller there can keep up until the bound for unknown
 // cancellations.
 Duration FailureDetector::cutOffTimeout(const Machine& machine) const {
-  constexpr Duration kMargin{1000};
-  Duration timeout = platform_.workerLease + kMargin;
+  constexpr Duration kClockMargin{1000};
+  Duration timeout = platform_.workerLease + kClockMargin;
   if (mayBeAnswered(machine.zone)) timeout += renewal_.longest();
-  if (counts_.blind()) timeout = 2 * platform_.workerLease + renewal_.longest() + kMargin;
+  if (counts_.blind()) timeout = 2 * platform_.workerLease + renewal_.longest() + kClockMargin;
   return timeout;
 }
 
