--- a/src/connectivity/reporter_log.hpp
+++ b/src/connectivity/reporter_log.hpp
@@ -19,6 +19,7 @@
   /// @param freshFor For how long after its report a worker counts as one that reports.
   explicit ReporterLog(Duration freshFor) : freshFor_(freshFor) {}
 
+  /// The worker at `address` has reported.
   void record(const std::string& address, const ZoneId& zone, Instant at);
   /// The worker other than `address` that reported last in the zone; if none did lately, in any
   /// zone.
--- a/src/connectivity/worker_transport.hpp
+++ b/src/connectivity/worker_transport.hpp
@@ -20,14 +20,16 @@
   unreachable,  ///< no answer, while another worker answered on the same way at about the same time
   unknown       ///< no answer, and nothing shows that the way to the worker works
 };
+/// The outcome's name as it appears in logs.
 const char* toString(ProbeOutcome outcome);
 
 /// What is known of a probe so far.
 struct ProbeResult {
-  ProbeOutcome outcome = ProbeOutcome::unknown;
-  std::optional<Response> response;  ///< set if it was answered
-  std::optional<MemberId> through;   ///< the peer through which it went; empty: directly
+  ProbeOutcome outcome = ProbeOutcome::unknown;  ///< by now
+  std::optional<Response> response;              ///< set if it was answered
+  std::optional<MemberId> through;  ///< the peer through which it went; empty: directly
 };
+/// Receives what is known of a probe; see WorkerTransport::probe().
 using OnProbeResult = std::function<void(const ProbeResult&)>;
 
 /// Sends requests to workers. Those that the leader cannot reach directly go through the peer that
@@ -52,9 +54,11 @@
                   const std::optional<MemberId>& via);
   /// Sends a request to a worker directly, on behalf of a peer.
   void serve(const std::string& address, const Request& request, const Respond& respond);
+  /// The health of the direct link to the workers.
   const LinkHealth& link() const { return link_; }
   /// Whether a request sent at `sent` or later reached a worker, directly or through a peer.
   bool reachedSince(Instant sent) const;
+  /// Forgets through which peers workers reported.
   void forgetNextHops() { nextHops_.clear(); }
   /// Drops the state of workers that have not reported for long.
   void expire();
--- a/src/fleet/worker_prober.hpp
+++ b/src/fleet/worker_prober.hpp
@@ -19,6 +19,8 @@
 /// with the next heartbeat.
 class WorkerProber {
  public:
+  /// @param context Of the present leadership.
+  /// @param fleet The machines that are probed; outlives the prober.
   WorkerProber(LeaderContext& context, Fleet& fleet) : context_(context), fleet_(fleet) {}
 
   /// Probes all machines that this leader has no report of, once there is a list of them.
