--- a/src/connectivity/worker_transport_test.cpp
+++ b/src/connectivity/worker_transport_test.cpp
@@ -132,6 +132,32 @@
   EXPECT_EQ(outcomes, Outcomes{ProbeOutcome::unknown});
 }
 
+// The peer has no other worker to compare with; a dead machine was given up later for that.
+TEST_F(ProbeOfWorker, ThatIsDeadIsProbedDirectlyBesideAPeerThatCannotTell) {
+  constexpr int kPeerReachesNoWorker = 504;
+  const MemberId peer{"peer"};
+  platform.peers.push_back({peer, zoneB, "peer:1"});
+  PeerMembership withPeer(runtime, runtime, platform);
+  network.listen("peer:1", [](const std::string&, const Request&, const Respond& respond) {
+    respond(jsonResponse(kPeerReachesNoWorker, Json::object()));
+  });
+  PeerStatus status;
+  status.member = peer;
+  status.supportsForwarding = true;
+  withPeer.start([&status] { return status; }, Duration{1000000});
+  WorkerTransport beside(runtime, runtime, withPeer);
+  network.silence("probed");
+  for (int i = 0; i < 2; ++i) {
+    outcomes.clear();
+    beside.noteReport("other:9", zoneA, std::nullopt);
+    withPeer.onStatusRequest({"POST", "/mesh/hello", encodeBody(toJson(status))});
+    beside.probe("probed:9", zoneA, {"POST", "/commands", ""},
+                 [this](const ProbeResult& result) { outcomes.push_back(result.outcome); });
+    pass(2000);
+  }
+  EXPECT_EQ(outcomes, (Outcomes{ProbeOutcome::unknown, ProbeOutcome::unreachable}));
+}
+
 // A peer that is asked to reach a worker tells a dead one from a way that is cut, likewise.
 TEST_F(ProbeOfWorker, ThroughAPeerIsMeasuredByWhatThePeerReaches) {
   std::vector<int> statuses;
