--- a/src/fleet/worker_prober.cpp
+++ b/src/fleet/worker_prober.cpp
@@ -7,6 +7,13 @@
 
 namespace kestrelhoist {
 
+// Where the way is not known to work this controller, or the peer that it asked through, may be the
+// one that is cut off.
+bool isFailedProbe(const Machine& machine, Instant sent, ProbeOutcome outcome) {
+  const bool reportedSince = machine.hasReported() && machine.session.lastReportAt >= sent;
+  return outcome == ProbeOutcome::unreachable && !reportedSince;
+}
+
 // DESIGN: a new leader waits one full report round before placing or giving back. Where reports
 // come seldom it asks for them: the round is over when each machine has reported or was asked in
 // vain.
@@ -109,17 +116,11 @@
       reached ? std::min(2 * unreachableZoneProbes_, kMostProbes) : kFewestZoneProbes;
 }
 
-// Silence says nothing of the machine unless the way to it is known to work: this controller, or
-// the peer it asked through, may be the one that is cut off. Nor does it if a report has come since
-// the probe was sent.
 void WorkerProber::onUnanswered(Machine& machine, Instant sent, const ProbeResult& result) const {
-  const bool reportedSince = machine.hasReported() && machine.session.lastReportAt >= sent;
-  const bool counts = result.outcome == ProbeOutcome::unreachable && !reportedSince;
-  if (counts) ++machine.failedProbes;
+  if (isFailedProbe(machine, sent, result.outcome)) ++machine.failedProbes;
   logDebug("probe unanswered", "machine", machine.id, "zone", machine.zone, "through",
            result.through ? result.through->value : "-", "outcome", toString(result.outcome),
-           "sent_ms_ago", context_.runtime.now() - sent, "reported_since", reportedSince,
-           "failed_probes", machine.failedProbes);
+           "sent_ms_ago", context_.runtime.now() - sent, "failed_probes", machine.failedProbes);
 }
 
 void WorkerProber::onAnswer(Machine& machine, Instant sent, const Response& response) {
--- a/src/fleet/worker_prober.hpp
+++ b/src/fleet/worker_prober.hpp
@@ -15,6 +15,10 @@
 
 namespace kestrelhoist {
 
+/// Whether a probe that was sent at `sent` speaks against the machine: its silence says nothing
+/// unless the way to it is known to work, nor if a report has come since.
+bool isFailedProbe(const Machine& machine, Instant sent, ProbeOutcome outcome);
+
 /// Probes workers while this controller leads. Only facts are taken from the answers; commands go
 /// with the next heartbeat.
 class WorkerProber {
