Tests: logs of scenarios carry virtual time, replica gaps are measured, one machine's answers are lost

What could not be told apart before: by which step a replica that ended with its machine's lease comes back late. With LOG_LEVEL each line of a scenario begins with the world's time, simulated workers log each launch and start, `gaps` prints the spells in which replicas of a watched service were missing, and `expect gap` bounds the longest. `lose_answers` loses what one named machine is answered, or answers, and nothing else.

--- a/simulator/model/worker.cpp
+++ b/simulator/model/worker.cpp
@@ -225,6 +225,8 @@
     inUse = inUse || (other.state != "ended" && other.job == t.job && other.index == t.index);
   }
   tasks.push_back(t);
+  logDebug("simulated worker launches task", "machine", host, "task", name, "attempt", attempt,
+           "worker_epoch", tenure_);
   if (inUse) return finish(tasks.back(), "in_use");
   changed();
   auto life = t.life;
@@ -264,6 +266,8 @@
   if (!t || t->state != "fetching") return;
   t->state = "running";
   t->startedAt = region_.clock.now();
+  logDebug("simulated worker runs task", "machine", host, "job", t->job, "index", t->index,
+           "attempt", t->attempt);
   changed();
   region_.taskHost.begin(*this, *t);
 }
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -67,6 +67,7 @@
   void cutMachine(const Line& line);
   void cutInboundOfZone(const Line& line);
   void loseMessages(const Line& line);
+  void loseAnswersOfMachine(const Line& line);
   void delayWrites(const Line& line);
   void delayCommands(const Line& line);
   void duplicateReports(const Line& line);
@@ -81,6 +82,7 @@
   void printRunning(const Line& line);
   void printSummary(const Line& line);
   void printTraffic(const Line& line);
+  void printGaps(const Line& line);
   void markController(const Line& line);
   void markMachinesOfZone(const Line& line);
   void watchJob(const Line& line);
--- a/tests/scenario_expect.cpp
+++ b/tests/scenario_expect.cpp
@@ -7,6 +7,7 @@
       {"phase", &ScenarioExpect::expectPhase},
       {"replicas", &ScenarioExpect::expectReplicas},
       {"fewest", &ScenarioExpect::expectFewestReplicas},
+      {"gap", &ScenarioExpect::expectReplicaGap},
       {"served", &ScenarioExpect::expectServed},
       {"underserved", &ScenarioExpect::expectUnderserved},
       {"answered", &ScenarioExpect::expectAnswered},
--- a/tests/scenario_expect.hpp
+++ b/tests/scenario_expect.hpp
@@ -22,6 +22,7 @@
   void expectPhase(const Line& line);
   void expectReplicas(const Line& line);
   void expectFewestReplicas(const Line& line);
+  void expectReplicaGap(const Line& line);
   void expectServed(const Line& line);
   void expectUnderserved(const Line& line);
   void expectAnswered(const Line& line);
--- a/tests/scenario_expect_jobs.cpp
+++ b/tests/scenario_expect_jobs.cpp
@@ -23,6 +23,15 @@
   EXPECT_GE(world_->fewest(words.at(2)), std::stoi(words.at(3)));
 }
 
+// expect gap ID most S: the longest spell with replicas missing since `watch`
+void ScenarioExpect::expectReplicaGap(const Line& line) {
+  const auto& words = line.words;
+  const auto lengths = world_->gapsOf(words.at(2)).sortedLengthsMs();
+  const double longest = lengths.empty() ? 0 : static_cast<double>(lengths.back()) / 1000;
+  EXPECT_LE(longest, std::stod(words.at(4)))
+      << "seconds with replicas of " << words.at(2) << " missing";
+}
+
 // expect served least SHARE, of every class and team
 void ScenarioExpect::expectServed(const Line& line) {
   const auto& words = line.words;
--- a/tests/scenario_faults.cpp
+++ b/tests/scenario_faults.cpp
@@ -20,6 +20,7 @@
                                                                {"polls", {1, 2}},
                                                                {"notice", {2}},
                                                                {"lose", {2}},
+                                                               {"lose_answers", {3}},
                                                                {"capacity", {2}},
                                                                {"crash", {2}},
                                                                {"crashes", {2, 3, 4}},
--- a/tests/scenario_steps_machines.cpp
+++ b/tests/scenario_steps_machines.cpp
@@ -60,6 +60,18 @@
       std::stod(line.words.at(2));
 }
 
+// lose_answers WHICH to|of|both SECONDS: one machine's reports and the direct commands to it
+// arrive, the answers to its reports (`to`), to the commands (`of`) or all are lost
+void Scenario::loseAnswersOfMachine(const Line& line) {
+  const auto& words = line.words;
+  const std::string host = busyMachine(words.at(1));
+  ASSERT_TRUE(world_->workers.contains(host)) << "no such machine";
+  const std::int64_t until = world_->clock.now() + toMilliseconds(words.at(3));
+  auto& network = world_->network;
+  if (words.at(2) != "of") network.answersLostUntil[host] = until;
+  if (words.at(2) != "to") network.ownAnswersLostUntil[host] = until;
+}
+
 // late_writes SHARE SECONDS: carried out 2 to 12 s later
 void Scenario::delayWrites(const Line& line) {
   world_->network.lateWrites = std::stod(line.words.at(1));
--- a/tests/scenario_steps_output.cpp
+++ b/tests/scenario_steps_output.cpp
@@ -67,6 +67,15 @@
   leadershipsBefore_ = world_->leaderships;
 }
 
+// gaps ID: spells in which replicas were missing since `watch`
+void Scenario::printGaps(const Line& line) {
+  const ReplicaGaps& gaps = world_->gapsOf(line.words.at(1));
+  std::cout << "  gaps of " << line.words.at(1) << ": " << gaps.missingMs()
+            << " replica ms missing;";
+  for (auto length : gaps.sortedLengthsMs()) std::cout << " " << length;
+  std::cout << "\n";
+}
+
 // recover ID N most S: time passes until N replicas run, at most S seconds
 void Scenario::awaitRecovery(const Line& line) {
   constexpr double kStepS = 0.1;
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -1,6 +1,8 @@
 /// Plays every file of tests/scenarios with each of its seeds and choices as a test of its own.
 #include "scenario.hpp"
 
+#include "sim/virtual_time_log.hpp"
+
 namespace kestrelhoist::sim {
 namespace {
 
@@ -104,6 +106,7 @@
 
 TEST_P(ScenarioTest, KeepsTheRules) {
   const char* level = std::getenv("LOG_LEVEL");
+  if (level) logVirtualTime();
   spdlog::set_level(level ? spdlog::level::from_str(level) : spdlog::level::off);
   Scenario(linesOf(GetParam().file, GetParam().chosen), GetParam().seed).run();
 }
--- a/tests/sim/virtual_time.hpp
+++ b/tests/sim/virtual_time.hpp
@@ -15,6 +15,14 @@
 
 class Clockwork : public simulator::Clock {
  public:
+  Clockwork() { newest_ = this; }
+  ~Clockwork() override {
+    if (newest_ == this) newest_ = nullptr;
+  }
+  Clockwork(const Clockwork&) = delete;
+  Clockwork& operator=(const Clockwork&) = delete;
+  /// Of the clock that was made last; 0: there is none.
+  static std::int64_t newestNow() { return newest_ ? newest_->now_ : 0; }
   std::int64_t now() const override { return now_; }
   void at(std::int64_t ms, std::function<void()> f) override {
     queue_.push({std::max(ms, now_), next_++, std::move(f)});
@@ -40,6 +48,7 @@
   std::priority_queue<Event> queue_;
   std::int64_t now_ = 1000;
   std::uint64_t next_ = 0;
+  static inline Clockwork* newest_ = nullptr;
 };
 
 /// slow: messages take Network::slowMs longer.
@@ -83,7 +92,11 @@
   };
   std::map<std::string, Traffic> traffic;
   double lossOfAnswers = 0;  ///< share of requests whose answer is lost
-  double lateRequests = 0;   ///< share that arrives up to two minutes late
+  /// Answers to this host's requests are lost until then (ms).
+  std::map<std::string, std::int64_t> answersLostUntil;
+  /// Answers of this host are lost until then (ms).
+  std::map<std::string, std::int64_t> ownAnswersLostUntil;
+  double lateRequests = 0;  ///< share that arrives up to two minutes late
   /// Of this share of the workers' reports a copy comes so much later (ms), at whoever listens at
   /// that address then; nobody hears its answer.
   struct Copies {
@@ -166,7 +179,7 @@
              if (reset) return finish(std::nullopt);
              auto server = servers_.find(address);
              if (server == servers_.end()) return finish(std::nullopt);
-             bool lost = chance(lossOfAnswers) || late;
+             bool lost = chance(lossOfAnswers) || late || losesAnswer(from, to);
              serve(server->second, from, address, request,
                    [this, from, to, request, finish, lost, back, &sum](const Response& r) {
                      if (onAnswered) onAnswered(request, r);
@@ -207,6 +220,13 @@
   std::int64_t heldFor() {
     return std::uniform_int_distribution<std::int64_t>(held.from, held.to)(random_);
   }
+  bool losesAnswer(const std::string& from, const std::string& to) const {
+    auto lasts = [this](const auto& until, const std::string& host) {
+      auto found = until.find(host);
+      return found != until.end() && clock_.now() < found->second;
+    };
+    return lasts(answersLostUntil, from) || lasts(ownAnswersLostUntil, to);
+  }
   bool chance(double p) { return p > 0 && std::bernoulli_distribution(p)(random_); }
 
   const Cut* cutBetween(const std::string& a, const std::string& b) const {
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -129,6 +129,7 @@
   pollUnknown();
   watchLeader();
   watchService();
+  watchGaps();
   watchWaits();
 }
 
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -10,6 +10,7 @@
 #include "sim/balancer.hpp"
 #include "sim/flow_plans.hpp"
 #include "sim/pipeline_checks.hpp"
+#include "sim/replica_gaps.hpp"
 #include "sim/virtual_time.hpp"
 #include "simulator/model/simulated_region.hpp"
 
@@ -129,8 +130,13 @@
   void freeze(int node, std::int64_t forMs);  ///< stands still, its clocks run on
   int leaderNode() const;                     ///< -1: none
   /// From now on the fewest replicas of this service that ran at a time are remembered.
-  void watch(const std::string& id) { watched_[id] = runningReplicas(id); }
+  void watch(const std::string& id) {
+    watched_[id] = runningReplicas(id);
+    gaps_.insert_or_assign(id, ReplicaGaps(users_.at(id).plan.tasks));
+  }
   int fewest(const std::string& id) const { return watched_.at(id); }
+  /// Spells since then in which some of its replicas did not run.
+  const ReplicaGaps& gapsOf(const std::string& id) const { return gaps_.at(id); }
   /// Breaks `underserved` if a class, its largest jobs or a team got less than this share of what
   /// it should have: replica time of its services, tasks of its arrays that had time to end. The
   /// largest are the tenth of a class's jobs that asks for most room, at least one; they begin in
@@ -300,6 +306,8 @@
   std::unique_ptr<Balancer> balancer_;
   std::int64_t goneByMs_ = 0;
   std::map<std::string, int> watched_;
+  void watchGaps();
+  std::map<std::string, ReplicaGaps> gaps_;
   std::map<std::string, double> faulty_;  ///< by host
   std::vector<Node> nodes_;
   std::map<std::string, UserJob> users_;
