Leader: the change feed confirms a commit whose answer is lost, so that its placements are launched at once

What callers saw: replicas that ended with their machine's lease came back up to 35 s later while answers were lost; new services waited for their machines' next heartbeats.

Cause: a commit without an answer was sent again after 1.7 s, which is then in conflict with itself. The step ended as not applied, so what follows a commit (the direct launches) never came; the launches waited for a heartbeat, and for another 5 s if the answer to that was lost, too.

Why this works: each change in the feed carries key, value and revision. All writes of the transaction at one revision are its own commit, which conditions on the leader key and on a key that it writes. The leader reads the feed every 250 ms, so the outcome is known by then, the step ends as applied, and nothing is sent again. Records that the feed has brought are not applied a second time: the key may have been dropped since.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -94,6 +94,9 @@
   started_ = runtime_.now();
   lastWorker_ = started_ - Duration{3600000};
   watcher_.setInterval(kFollowerRead);
+  watcher_.onApplied = [this](const std::vector<Change>& changes) {
+    if (leader_) leader_->onChangesApplied(changes);
+  };
   watcher_.onChanged = [this] { onRecordsChanged(); };
   watcher_.onReload = [this] {
     if (election_.leads()) stepDown("records must be read again", true, Duration{1000});
--- a/src/app/leader.cpp
+++ b/src/app/leader.cpp
@@ -5,6 +5,7 @@
 #include "app/pending_explanation.hpp"
 #include "base/log.hpp"
 #include "dependencies/projected_demand.hpp"
+#include "store/commit_confirmation.hpp"
 
 namespace kestrelhoist {
 namespace {
@@ -171,49 +172,65 @@
 
 void Leader::commit(Commit commit) {
   stepUnderWay_ = true;
-  auto shared = std::make_shared<Commit>(std::move(commit));
-  double cost = static_cast<double>(shared->transaction.writes.size());
+  sent_ = std::make_shared<SentCommit>(SentCommit{std::move(commit)});
+  double cost = static_cast<double>(sent_->commit.transaction.writes.size());
   Duration wait = writes_.waitFor(context_.runtime.now(), cost);
   if (wait.count() > 0) {
-    context_.runtime.after(wait, context_.whileLeading([this, shared] { send(shared); }));
+    context_.runtime.after(wait, context_.whileLeading([this, sent = sent_] { send(sent); }));
   } else {
-    send(shared);
+    send(sent_);
   }
 }
 
-// Sends the same transaction until there is an answer. Each one writes a key that it conditions on,
-// so of several sends at most one is applied, and after a 200 or 409 none can be applied later.
-void Leader::send(std::shared_ptr<Commit> commit) {
-  writes_.take(context_.runtime.now(), static_cast<double>(commit->transaction.writes.size()));
-  context_.store.commit(commit->transaction, kCommitTimeout,
-                        context_.whileLeading([this, commit](const CommitResult& result) {
-                          onCommitResult(commit, result);
-                        }));
+// Sends the same transaction until its outcome is known. Each one writes a key that it conditions
+// on, so of several sends at most one is applied, and after a 200 or 409 none can be applied later.
+void Leader::send(const SentCommitPtr& sent) {
+  if (sent->settled) return;
+  const Transaction& transaction = sent->commit.transaction;
+  writes_.take(context_.runtime.now(), static_cast<double>(transaction.writes.size()));
+  context_.store.commit(
+      transaction, kCommitTimeout,
+      context_.whileLeading([this, sent](const CommitResult& r) { onCommitResult(sent, r); }));
 }
 
-void Leader::onCommitResult(const std::shared_ptr<Commit>& commit, const CommitResult& result) {
+void Leader::onCommitResult(const SentCommitPtr& sent, const CommitResult& result) {
+  if (sent->settled) return;
   switch (result.outcome) {
     case CommitOutcome::applied:
-      return onCommitApplied(*commit, result.revision);
+      return onCommitApplied(sent, result.revision);
     case CommitOutcome::conflict:
-      logInfo("commit in conflict, reading again", "what", commit->what);
-      return rereadRecords();
+      logInfo("commit in conflict, reading again", "what", sent->commit.what);
+      return rereadRecords(sent);
     case CommitOutcome::rejected:
     case CommitOutcome::noLease:
-      logError("commit rejected", "what", commit->what);
+      logError("commit rejected", "what", sent->commit.what);
       // The limits may have fallen since; an earlier send may have been applied before that.
-      context_.runtime.after(kRejectedRetry, context_.whileLeading([this] { rereadRecords(); }));
+      context_.runtime.after(kRejectedRetry,
+                             context_.whileLeading([this, sent] { rereadRecords(sent); }));
       return;
     case CommitOutcome::refused:
     case CommitOutcome::unknown:
-      context_.runtime.after(kRetry, context_.whileLeading([this, commit] { send(commit); }));
+      context_.runtime.after(kRetry, context_.whileLeading([this, sent] { send(sent); }));
       return;
   }
 }
 
-void Leader::onCommitApplied(const Commit& commit, Revision revision) {
-  for (const auto& write : commit.transaction.writes) {
-    context_.replica.apply({write.key, write.value, revision});
+void Leader::onChangesApplied(const std::vector<Change>& changes) {
+  if (!sent_ || sent_->settled || deposed()) return;
+  auto revision = appliedRevision(sent_->commit.transaction, changes);
+  if (!revision) return;
+  logInfo("commit confirmed by the change feed", "what", sent_->commit.what);
+  onCommitApplied(sent_, *revision);
+}
+
+void Leader::onCommitApplied(const SentCommitPtr& sent, Revision revision) {
+  sent->settled = true;
+  const Commit& commit = sent->commit;
+  // What the change feed has brought already may have been changed again since.
+  if (revision > context_.replica.cursor()) {
+    for (const auto& write : commit.transaction.writes) {
+      context_.replica.apply({write.key, write.value, revision});
+    }
   }
   context_.latestRevision = std::max(context_.latestRevision, revision);
   stepUnderWay_ = false;
@@ -223,9 +240,13 @@
   scheduleCycle();
 }
 
-// Reads what a failed commit did not know of, and ends its step.
-void Leader::rereadRecords() {
-  context_.watcher.linearizableRead(context_.whileLeading([this](bool) {
+// Reads what a failed commit did not know of, and ends its step. The read may show that an earlier
+// send of it was applied.
+void Leader::rereadRecords(const SentCommitPtr& sent) {
+  if (sent->settled) return;
+  context_.watcher.linearizableRead(context_.whileLeading([this, sent](bool) {
+    if (sent->settled) return;
+    sent->settled = true;
     stepUnderWay_ = false;
     notifyLoops(false);
     scheduleCycle();
--- a/src/app/leader.hpp
+++ b/src/app/leader.hpp
@@ -22,7 +22,10 @@
 
   /// Answers a worker's heartbeat. `sure` says that the state service was reached a moment ago.
   Response onReport(const Report& report, bool sure);
-  /// The replica has taken in changes from the change feed.
+  /// The replica has taken in these changes from the change feed. They may show that the commit
+  /// under way was applied although its answer is lost.
+  void onChangesApplied(const std::vector<Change>& changes);
+  /// The same, once those who waited for the read were called.
   void onRecordsChanged();
   /// Explains why tasks of the job wait; see explainPending().
   Json why(const JobId& job);
@@ -30,6 +33,13 @@
   Fleet& fleet() { return fleet_; }
 
  private:
+  /// A commit that was sent, until its outcome is known.
+  struct SentCommit {
+    Commit commit;
+    bool settled = false;
+  };
+  using SentCommitPtr = std::shared_ptr<SentCommit>;
+
   void connectLoops();
   /// Reads what the previous leader stored with the forecast.
   void restoreSuspectedZones(const Json& forecast);
@@ -41,10 +51,10 @@
   bool deposed() const;
   void notifyLoops(bool changedByOthers);
   void commit(Commit commit);
-  void send(std::shared_ptr<Commit> commit);
-  void onCommitResult(const std::shared_ptr<Commit>& commit, const CommitResult& result);
-  void onCommitApplied(const Commit& commit, Revision revision);
-  void rereadRecords();
+  void send(const SentCommitPtr& sent);
+  void onCommitResult(const SentCommitPtr& sent, const CommitResult& result);
+  void onCommitApplied(const SentCommitPtr& sent, Revision revision);
+  void rereadRecords(const SentCommitPtr& sent);
   void finishStep(std::optional<Commit> next);
 
   LeaderContext context_;
@@ -64,6 +74,7 @@
   PolicyLoop policy_;
   std::vector<ControlLoop*> loops_;  ///< in the order in which they take turns
   RateBudget writes_;
+  SentCommitPtr sent_;         ///< the newest commit; null before the first
   bool stepUnderWay_ = false;  ///< a commit or an asynchronous step is under way
   bool cycleScheduled_ = false;
   std::size_t nextLoop_ = 0;  ///< index of the loop that comes first in the next cycle
--- a/src/store/change_watcher.cpp
+++ b/src/store/change_watcher.cpp
@@ -89,6 +89,7 @@
     for (const auto& c : r.changes) replica_.apply(c);
     replica_.advance(r.revision);
     snapshotTime_ = sentAt;
+    if (!r.changes.empty() && onApplied) onApplied(r.changes);
   } else if (r.kind == ChangesResult::Kind::tooOld) {
     logInfo("changes are gone, reading all records again", "since", replica_.cursor());
     loaded_ = false;
--- a/src/store/change_watcher.hpp
+++ b/src/store/change_watcher.hpp
@@ -36,6 +36,9 @@
   /// When the first of the reads that fail now was sent.
   Instant failingSince() const { return failingSince_; }
 
+  /// Called with changes that were just applied, before those who wait for the read that brought
+  /// them.
+  std::function<void(const std::vector<Change>&)> onApplied;
   /// Called after changes were applied, and when the copy had to be thrown away.
   std::function<void()> onChanged;
   std::function<void()> onReload;
--- /dev/null
+++ b/src/store/commit_confirmation_test.cpp
@@ -0,0 +1,48 @@
+// Guards against: replicas placed by a transaction whose answer was lost were launched seconds
+// later.
+#include "store/commit_confirmation.hpp"
+
+#include <gtest/gtest.h>
+
+namespace kestrelhoist {
+namespace {
+
+const Change kTasks{"kh/tasks/j-1/0", Json{{"placed", 4}}, Revision{12}};
+const Change kJob{"kh/job/j-1", std::nullopt, Revision{12}};
+
+Transaction written() {
+  Transaction transaction;
+  transaction.writes.push_back({kTasks.key, kTasks.value, std::nullopt});
+  transaction.writes.push_back({kJob.key, kJob.value, std::nullopt});
+  return transaction;
+}
+
+TEST(CommitConfirmation, EveryWriteAtOneRevisionShowsThatItWasApplied) {
+  const Change other{"kh/job/j-2", Json{{"phase", "done"}}, Revision{13}};
+  EXPECT_EQ(appliedRevision(written(), {kTasks, kJob, other}), Revision{12});
+}
+
+TEST(CommitConfirmation, AMissingWriteShowsNothing) {
+  EXPECT_FALSE(appliedRevision(written(), {kTasks}));
+  EXPECT_FALSE(appliedRevision(written(), {kJob}));
+  EXPECT_FALSE(appliedRevision(written(), {}));
+  EXPECT_FALSE(appliedRevision({}, {kTasks, kJob}));
+}
+
+TEST(CommitConfirmation, AnotherValueOrRevisionShowsNothing) {
+  Change otherValue = kTasks;
+  otherValue.value = Json{{"placed", 5}};
+  EXPECT_FALSE(appliedRevision(written(), {otherValue, kJob}));
+  Change later = kJob;
+  later.modRevision = Revision{13};
+  EXPECT_FALSE(appliedRevision(written(), {kTasks, later}));
+}
+
+TEST(CommitConfirmation, AnOlderChangeOfTheSameKeyDoesNotHideIt) {
+  Change older = kTasks;
+  older.modRevision = Revision{11};
+  EXPECT_EQ(appliedRevision(written(), {older, kTasks, kJob}), Revision{12});
+}
+
+}  // namespace
+}  // namespace kestrelhoist
