Store: reads of changes are hedged, so that a leader does not step down over two lost answers

What callers saw: while a tenth of all answers is lost nothing is placed, stopped or rented for 4 to 8 s, about ten times in 350 s. Replicas that ended with their machine's lease wait for the next leader.

Cause: one read at a time, and 1 s for each answer. Two in a row are 2 s without contact, at which a leader steps down if a peer reads on ("the state service answers others but not this node"). A load waited 2 s for each page.

Why this works: without an answer after 400 ms the same read is sent once more within the same timeout, and the first answer counts, with the time at which its own request was sent. Reads have no effect. A refusal at once is not repeated. Repeats are counted in kestrelhoist_repeats_total.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -98,6 +98,7 @@
     if (leader_) leader_->onChangesApplied(changes);
   };
   watcher_.onChanged = [this] { onRecordsChanged(); };
+  watcher_.onRepeated = [this] { countRepeat("state_read"); };
   watcher_.onReload = [this] {
     if (election_.leads()) stepDown("records must be read again", true, Duration{1000});
   };
@@ -123,6 +124,10 @@
   onTimer();
 }
 
+void Controller::countRepeat(const char* what) {
+  if (metrics_) metrics_->repeated(what);
+}
+
 void Controller::onRecordsChanged() {
   if (members_) members_->onRecordsChanged();
   lastToken_ = std::max(lastToken_, replica_.leaderToken());
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -53,6 +53,7 @@
   void onTimer();
   void trackUnreachableLeader(Instant now);
   void expireWorkers(Instant now);
+  void countRepeat(const char* what);
   void onRecordsChanged();
 
   /// controller_leadership.cpp
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -35,6 +35,9 @@
   prometheus::Histogram& wait = waits.Add({}, kSeconds);
   prometheus::Family<prometheus::Counter>& commits = family<prometheus::Counter>(
       registry, "commits_total", "transactions sent to the state service, by outcome and role");
+  prometheus::Family<prometheus::Counter>& repeats = family<prometheus::Counter>(
+      registry, "repeats_total",
+      "requests sent once more as nobody had answered, by what they are");
   prometheus::Histogram& silence =
       family<prometheus::Histogram>(
           registry, "machine_silence_seconds",
@@ -62,6 +65,8 @@
   f_->commits.Add({{"outcome", outcome}, {"role", leading ? "leader" : "node"}}).Increment();
 }
 
+void Metrics::repeated(const char* what) { f_->repeats.Add({{"what", what}}).Increment(); }
+
 void Metrics::machineGivenUp(Duration silence) { f_->silence.Observe(toSeconds(silence)); }
 
 std::string Metrics::text() {
--- a/src/store/change_watcher.cpp
+++ b/src/store/change_watcher.cpp
@@ -1,8 +1,21 @@
 #include "store/change_watcher.hpp"
 
+#include <memory>
+#include <utility>
+
+#include "base/hedged_request.hpp"
 #include "base/log.hpp"
 
 namespace kestrelhoist {
+namespace {
+
+// The state service mostly answers within 10 ms, sometimes within a few hundred (PROTOCOL).
+constexpr Duration kRepeatReadAfter{400};
+constexpr Duration kRepeatPageAfter{800};  // a page may be as large as 512 KiB
+constexpr Duration kPageTimeout{2000};
+constexpr Duration kRetryPageAfter{300};
+
+}  // namespace
 
 ChangeWatcher::ChangeWatcher(Runtime& runtime, StoreClient& store, Replica& replica,
                              Settings settings)
@@ -15,35 +28,45 @@
 }
 
 void ChangeWatcher::load(const std::string& since, bool first) {
-  Instant sentAt = runtime_.now();
-  store_.list(keys::kRoot, since, Duration{2000}, [this, since, first, sentAt](ListResult r) {
-    if (!r.ok) {
-      ++failures_;
-      runtime_.after(Duration{300}, [this, since, first] { load(since, first); });
-      return;
-    }
-    failures_ = 0;
-    if (first) {
-      loadRevision_ = r.revision;
-      loadSentAt_ = sentAt;
-    }
-    for (const auto& row : r.rows) replica_.apply(row);
-    if (r.more && !r.rows.empty()) {
-      load(r.rows.back().key, false);
-      return;
-    }
-    // Later pages may be newer than the first; changes since the first page's epoch are read
-    // again, and the stamps of the keys sort out what is already here.
-    replica_.advance(loadRevision_);
-    loaded_ = true;
-    // Not when the last page was sent: pages are asked for again across refusals, and what was
-    // cancelled since the first one may be in none of them (leases would be renewed without knowing
-    // of it).
-    snapshotTime_ = loadSentAt_;
-    logInfo("records loaded", "revision", loadRevision_, "jobs", replica_.jobs().size(), "machines",
-            replica_.machines().size());
-    schedule();
-  });
+  auto send = [this, since](Duration timeout, std::function<void(ListResult)> done) {
+    store_.list(keys::kRoot, since, timeout, std::move(done));
+  };
+  auto failed = [](const ListResult& page) { return !page.ok; };
+  auto done = [this, since, first](Instant sentAt, const ListResult& page) {
+    onPage(since, first, sentAt, page);
+  };
+  std::make_shared<HedgedRequest<ListResult>>(runtime_, send, failed, done)
+      ->start({kRepeatPageAfter, kPageTimeout}, onRepeated);
+}
+
+void ChangeWatcher::onPage(const std::string& since, bool first, Instant sentAt,
+                           const ListResult& page) {
+  if (!page.ok) {
+    ++failures_;
+    runtime_.after(kRetryPageAfter, [this, since, first] { load(since, first); });
+    return;
+  }
+  failures_ = 0;
+  if (first) {
+    loadRevision_ = page.revision;
+    loadSentAt_ = sentAt;
+  }
+  for (const auto& row : page.rows) replica_.apply(row);
+  if (page.more && !page.rows.empty()) {
+    load(page.rows.back().key, false);
+    return;
+  }
+  // Later pages may be newer than the first; changes since the first page's epoch are read
+  // again, and the stamps of the keys sort out what is already here.
+  replica_.advance(loadRevision_);
+  loaded_ = true;
+  // Not when the last page was sent: pages are asked for again across refusals, and what was
+  // cancelled since the first one may be in none of them (leases would be renewed without knowing
+  // of it).
+  snapshotTime_ = loadSentAt_;
+  logInfo("records loaded", "revision", loadRevision_, "jobs", replica_.jobs().size(), "machines",
+          replica_.machines().size());
+  schedule();
 }
 
 void ChangeWatcher::poll() {
@@ -76,8 +99,13 @@
   reading_ = true;
   lastSent_ = runtime_.now();
   served_ = std::exchange(waiting_, {});
-  store_.changes(keys::kRoot, replica_.cursor(), settings_.timeout,
-                 [this, sentAt = lastSent_](ChangesResult r) { onRead(sentAt, std::move(r)); });
+  auto send = [this](Duration timeout, std::function<void(ChangesResult)> done) {
+    store_.changes(keys::kRoot, replica_.cursor(), timeout, std::move(done));
+  };
+  auto failed = [](const ChangesResult& r) { return r.kind == ChangesResult::Kind::failed; };
+  auto done = [this](Instant sentAt, ChangesResult r) { onRead(sentAt, std::move(r)); };
+  std::make_shared<HedgedRequest<ChangesResult>>(runtime_, send, failed, done)
+      ->start({kRepeatReadAfter, settings_.timeout}, onRepeated);
 }
 
 void ChangeWatcher::onRead(Instant sentAt, ChangesResult r) {
--- a/src/store/change_watcher.hpp
+++ b/src/store/change_watcher.hpp
@@ -1,5 +1,6 @@
 /// \file
 /// Keeps the replica fresh: one read of changes at a time, which serves everyone who waits.
+/// Requests are hedged.
 #pragma once
 
 #include <functional>
@@ -42,12 +43,15 @@
   /// Called after changes were applied, and when the copy had to be thrown away.
   std::function<void()> onChanged;
   std::function<void()> onReload;
+  /// Called when a read is sent once more; may be null.
+  std::function<void()> onRepeated;
 
  private:
   void load(const std::string& since, bool first);
   void poll();
   void read();
   void schedule();
+  void onPage(const std::string& since, bool first, Instant sentAt, const ListResult& page);
   void onRead(Instant sentAt, ChangesResult result);
 
   Runtime& runtime_;
