Fleet: launches and stops that a worker has not confirmed are repeated directly

What callers saw: a job whose placement was on record began 33 to 37 s later.

Cause: a launch is sent directly once, right after its commit, and then only in answers to heartbeats; a new leader sends what its predecessor placed only with those. If these answers are lost, the worker asks again 5 s later, and so on, while direct commands reach it.

An answered probe is looked at in the same way.

CommandDispatcher::sendCommands, 50 lines with a nested callback, is four functions now.

--- a/src/app/controller_leadership.cpp
+++ b/src/app/controller_leadership.cpp
@@ -112,6 +112,7 @@
     });
   };
   context.zoneAckBounds = [this] { return zoneAckBounds(); };
+  context.onCommandsRepeated = [this] { countRepeat("commands"); };
   if (metrics_) {
     context.onGivenUpForSilence = [this](Duration silence) { metrics_->machineGivenUp(silence); };
   }
--- a/src/app/leader.cpp
+++ b/src/app/leader.cpp
@@ -20,6 +20,13 @@
 // Fields of the forecast record in which the previous leader left its suspicions.
 constexpr const char* kSuspectedZonesField = "silent";
 constexpr const char* kSuspectedJobsField = "suspect";
+
+// Whether the worker's next report will differ by what these commands do.
+bool changesTasks(const std::vector<WorkerCommand>& commands) {
+  return std::any_of(commands.begin(), commands.end(), [](const WorkerCommand& command) {
+    return command.operation != WorkerCommand::Operation::clear;
+  });
+}
 }  // namespace
 
 Leader::Leader(const LeaderContext& context, PlanRunner& planner, PolicyReplica& policy,
@@ -28,6 +35,7 @@
       mayHaveActingLeader_(std::move(mayHaveActingLeader)),
       fleet_(context_.platform, context_.replica, context_.token, context_.electedAt),
       dispatcher_(context_, fleet_),
+      repeater_([this](const MachineId& machine) { return dispatcher_.sendCommands(machine); }),
       prober_(context_, fleet_),
       outcomes_(context_, fleet_),
       forecasts_{{}, std::mt19937_64(context_.token.value)},
@@ -76,9 +84,15 @@
   planning_.resourcesReason = [this](const JobSpec& spec) {
     return scaling_.resourcesReason(spec);
   };
-  auto noteOutcomes = [this](Machine& machine) { outcomes_.noteOutcomes(machine); };
-  dispatcher_.onReport = noteOutcomes;
-  prober_.onReport = noteOutcomes;
+  dispatcher_.onSent = [this](const MachineId& machine) {
+    repeater_.expectConfirmation(machine, context_.runtime.now());
+  };
+  repeater_.onRepeated = context_.onCommandsRepeated;
+  dispatcher_.onReport = [this](Machine& machine) { outcomes_.noteOutcomes(machine); };
+  prober_.onReport = [this](Machine& machine) {
+    outcomes_.noteOutcomes(machine);
+    repeater_.expectConfirmation(machine.id, context_.runtime.now());
+  };
 }
 
 void Leader::finishStep(std::optional<Commit> next) {
@@ -132,6 +146,7 @@
     detectFailures(now);
     prober_.probeOverdue();
   }
+  repeater_.repeatDue(now);
   machineList_.onTimer();
   for (ControlLoop* loop : loops_) loop->onTimer();
   scheduleCycle();
@@ -268,6 +283,7 @@
     scheduleCycle();
   }
   outcomes_.noteOutcomes(m);
+  if (changesTasks(commands)) repeater_.expectConfirmation(report.machine, now);
   return jsonResponse(200, reportResponseToJson(context_.token, commands));
 }
 
--- a/src/app/leader.hpp
+++ b/src/app/leader.hpp
@@ -4,6 +4,7 @@
 #include "cloud/forecast_loop.hpp"
 #include "cloud/machine_list_loop.hpp"
 #include "cloud/termination_loop.hpp"
+#include "fleet/command_repeater.hpp"
 #include "flows/flow_loop.hpp"
 #include "policy/policy_loop.hpp"
 
@@ -61,6 +62,7 @@
   std::function<bool(const ZoneId&)> mayHaveActingLeader_;
   Fleet fleet_;
   CommandDispatcher dispatcher_;
+  CommandRepeater repeater_;
   WorkerProber prober_;
   ConfirmedOutcomes outcomes_;
   DemandForecasts forecasts_;
--- a/src/fleet/command_dispatcher.cpp
+++ b/src/fleet/command_dispatcher.cpp
@@ -6,53 +6,73 @@
 namespace kestrelhoist {
 namespace {
 constexpr Duration kDirectTimeout{3000};
+
+bool isLaunch(const WorkerCommand& command) {
+  return command.operation == WorkerCommand::Operation::launch;
+}
 }  // namespace
 
-// Sends a machine its orders now rather than with its next report.
-void CommandDispatcher::sendCommands(const MachineId& id) {
-  Machine* m = fleet_.find(id);
-  if (!m || !m->hasReported() || fleet_.isReleased(id)) return;
-  Instant now = context_.runtime.now();
-  if (now - m->session.lastReportAt > context_.platform.workerLease) return;
-  auto commands = fleet_.commandsFor(*m, now, context_.watcher.reachable());
+bool CommandDispatcher::sendCommands(const MachineId& id) {
+  Machine* machine = fleet_.find(id);
+  if (!machine || !machine->hasReported() || fleet_.isReleased(id)) return false;
+  const Instant now = context_.runtime.now();
+  WorkerSession& session = machine->session;
+  if (now - session.lastReportAt > context_.platform.workerLease) return false;
+  auto commands = fleet_.commandsFor(*machine, now, context_.watcher.reachable());
   // A late `clear` could make the worker forget what a late launch then starts again.
-  std::erase_if(commands, [](const WorkerCommand& o) {
-    return o.operation == WorkerCommand::Operation::clear;
+  std::erase_if(commands, [](const WorkerCommand& command) {
+    return command.operation == WorkerCommand::Operation::clear;
   });
-  if (commands.empty()) return;
-  for (const auto& o : commands) {
-    if (o.operation == WorkerCommand::Operation::launch)
-      m->session.unacknowledgedLaunches.insert(o.id);
+  if (commands.empty()) return false;
+  for (const auto& command : commands) {
+    if (isLaunch(command)) session.unacknowledgedLaunches.insert(command.id);
   }
-  WorkerEpoch workerEpoch = m->session.lastReport->workerEpoch;
+  send(id, session, std::move(commands));
+  if (onSent) onSent(id);
+  return true;
+}
+
+void CommandDispatcher::send(const MachineId& id, const WorkerSession& session,
+                             std::vector<WorkerCommand> commands) {
+  const WorkerEpoch workerEpoch = session.lastReport->workerEpoch;
   Request request{"POST", "/commands",
                   encodeBody(commandRequestToJson(context_.token, workerEpoch, commands))};
   context_.workers.send(
-      m->session.lastReport->address, std::move(request), kDirectTimeout,
-      context_.whileLeading([this, id, commands, workerEpoch](std::optional<Response> r) {
+      session.lastReport->address, std::move(request), kDirectTimeout,
+      context_.whileLeading([this, id, workerEpoch, commands = std::move(commands)](
+                                const std::optional<Response>& response) {
         Machine* machine = fleet_.find(id);
-        if (!machine || !r) return;  // no answer: launches may still arrive
-        if (r->status != 200 && r->status != 409 && r->status != 400) return;
-        if (machine->session.lastReport &&
-            machine->session.lastReport->workerEpoch == workerEpoch) {
-          auto& unacknowledgedLaunches = machine->session.unacknowledgedLaunches;
-          for (const auto& o : commands) {
-            if (o.operation != WorkerCommand::Operation::launch) continue;
-            if (auto own = unacknowledgedLaunches.find(o.id); own != unacknowledgedLaunches.end())
-              unacknowledgedLaunches.erase(own);
-          }
-        }
-        if (r->status == 400) return;
-        auto body = decodeBody(r->body);
-        auto report = body ? reportFrom(*body) : std::nullopt;
-        if (!report || report->machine != id ||
-            !fleet_.applyReport(*report, context_.runtime.now())) {
-          return;
-        }
-        // Only facts are taken from it; further orders go with the next report.
-        fleet_.commandsFor(*machine, context_.runtime.now(), false);
-        onReport(*machine);
+        if (!machine || !response) return;  // no answer: launches may still arrive
+        onResponse(*machine, workerEpoch, commands, *response);
       }));
 }
 
+void CommandDispatcher::onResponse(Machine& machine, WorkerEpoch workerEpoch,
+                                   const std::vector<WorkerCommand>& commands,
+                                   const Response& response) {
+  if (response.status != 200 && response.status != 409 && response.status != 400) return;
+  noteAcknowledged(machine.session, workerEpoch, commands);
+  if (response.status == 400) return;
+  auto body = decodeBody(response.body);
+  auto report = body ? reportFrom(*body) : std::nullopt;
+  if (!report || report->machine != machine.id) return;
+  if (!fleet_.applyReport(*report, context_.runtime.now())) return;
+  // Only facts are taken from it; further commands go with the next report.
+  fleet_.commandsFor(machine, context_.runtime.now(), false);
+  onReport(machine);
+}
+
+// Each launch of the answered command has arrived or will never arrive.
+void CommandDispatcher::noteAcknowledged(WorkerSession& session, WorkerEpoch workerEpoch,
+                                         const std::vector<WorkerCommand>& commands) {
+  if (!session.lastReport || session.lastReport->workerEpoch != workerEpoch) return;
+  auto& unacknowledged = session.unacknowledgedLaunches;
+  for (const auto& command : commands) {
+    if (!isLaunch(command)) continue;
+    if (auto own = unacknowledged.find(command.id); own != unacknowledged.end()) {
+      unacknowledged.erase(own);
+    }
+  }
+}
+
 }  // namespace kestrelhoist
--- a/src/leadership/leader_context.hpp
+++ b/src/leadership/leader_context.hpp
@@ -49,6 +49,8 @@
   std::function<bool()> hasUnheardPeer{};
   /// Called with the silence of each machine that is given up for it; may be null.
   std::function<void(Duration)> onGivenUpForSilence{};
+  /// Called when commands are sent to a machine once more; may be null.
+  std::function<void()> onCommandsRepeated{};
   std::function<void(std::optional<Commit>)>
       finishStep{};  ///< ends an asynchronous step, with or without a commit
 
