Fleet: a worker that waits for a lost answer gets work in its new session

What callers saw: replicas came back only with the next heartbeat, 4 to 5 s after their lease's end, although a probe had shown the new session 2 s earlier.

Cause: a worker that answers a probe in a session of which no heartbeat came was at once taken for one that reaches no controller, and such machines get no work.

Why this works: a worker that waits for a lost answer sends its next heartbeat after 5 s; it counts as not reporting when none came for 6 s. A mute one sent none for a whole lease when its session changes.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -11,8 +11,21 @@
 constexpr Duration kLateMargin{1000};
 // Until a peer that ended has refused a connection, or is back.
 constexpr Duration kEndedPeersNoticed{2000};
+// After a lost answer a worker sends its next heartbeat 5 s later (PROTOCOL, "Workers").
+constexpr Duration kRetryAfterLostAnswer{5000};
 // A heartbeat that a peer forwards is received by the leader within this time, or not at all.
 constexpr Duration kForwardedWithin{2000};
+
+// Whether the worker is in a session of which no heartbeat came here.
+bool beginsUnheard(const WorkerSession& session) {
+  return session.lastHeartbeatAt && session.lastReport->workerEpoch > session.lastHeartbeatEpoch;
+}
+
+// Whether the worker may be waiting for an answer that is lost: its next heartbeat is not due.
+bool mayStillRetry(const WorkerSession& session, Instant now) {
+  return session.lastHeartbeatAt &&
+         now - *session.lastHeartbeatAt <= kRetryAfterLostAnswer + kLateMargin;
+}
 }  // namespace
 
 Fleet::Fleet(const Platform& platform, const Replica& replica, FencingToken token, Instant now)
@@ -45,7 +58,8 @@
   if (!updateSession(machine.session, report, now, isHeartbeat)) return false;
   if (isHeartbeat) {
     machine.notReportingSince.reset();
-  } else if (leaseEnded && !machine.notReportingSince) {
+  } else if (!machine.notReportingSince && (leaseEnded || beginsUnheard(machine.session)) &&
+             !mayStillRetry(machine.session, now)) {
     machine.notReportingSince = now;
     logInfo("worker answers probes but sends no heartbeats", "machine", machine.id, "worker_epoch",
             report.workerEpoch);
--- a/src/fleet/reconcile.cpp
+++ b/src/fleet/reconcile.cpp
@@ -145,7 +145,11 @@
     session.launchSequences.clear();
     session.lastHeartbeatSequence = {};
   }
-  if (isHeartbeat) session.lastHeartbeatSequence = report.sequence;
+  if (isHeartbeat) {
+    session.lastHeartbeatSequence = report.sequence;
+    session.lastHeartbeatEpoch = report.workerEpoch;
+    session.lastHeartbeatAt = now;
+  }
   session.lastReport = report;
   session.lastReportAt = now;
   return true;
--- a/src/fleet/reconcile.hpp
+++ b/src/fleet/reconcile.hpp
@@ -24,6 +24,8 @@
   /// only after it has carried out or given up the answer to the one before; an answer to a direct
   /// command may overtake that answer.
   ReportSequence lastHeartbeatSequence{};
+  std::optional<Instant> lastHeartbeatAt;  ///< When the newest heartbeat arrived.
+  WorkerEpoch lastHeartbeatEpoch{};        ///< Of that heartbeat.
   /// Attempts for which a launch may have been sent, with the newest report known by then: only a
   /// later report can prove them absent.
   std::map<AttemptId, ReportSequence> launchSequences;
