Worker prober: a probe that goes two ways at once counts once

Cause: a worker that lately did not answer is probed directly and through a peer at once; both results counted, and two count as proof.

Evidence: the trace has failed_probes=1 through the peer after 1.2 s and 2 directly after 1.5 s, of one probe; both answers were lost at the same moment. FailedProbe.CountsOnceHoweverManyWaysItGoes.

Why this works: results of one moment tell of that moment. A dead machine is given up as soon as before, as its first probe goes one way.

--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -37,7 +37,8 @@
   std::optional<Instant> runningSince;  ///< When the cloud first listed it as running.
   std::string address;                  ///< As last reported or listed.
   Instant probedAt{};                   ///< When it was last probed directly.
-  int failedProbes{};                   ///< Direct probes in a row without an answer.
+  int failedProbes{};                   ///< Probes in a row without an answer.
+  Instant newestFailedProbe{};          ///< When the newest of them was sent.
   /// Since when it is known to answer probes although its lease ended and it reports nothing: no
   /// controller answers its reports, so whatever runs on it ends with its lease.
   std::optional<Instant> notReportingSince;
--- a/src/fleet/worker_prober.cpp
+++ b/src/fleet/worker_prober.cpp
@@ -11,7 +11,9 @@
 // one that is cut off.
 bool isFailedProbe(const Machine& machine, Instant sent, ProbeOutcome outcome) {
   const bool reportedSince = machine.hasReported() && machine.session.lastReportAt >= sent;
-  return outcome == ProbeOutcome::unreachable && !reportedSince;
+  // A probe that goes two ways at once has two results; both tell of the same moment.
+  const bool isCounted = machine.newestFailedProbe == sent;
+  return outcome == ProbeOutcome::unreachable && !reportedSince && !isCounted;
 }
 
 // DESIGN: a new leader waits one full report round before placing or giving back. Where reports
@@ -117,7 +119,10 @@
 }
 
 void WorkerProber::onUnanswered(Machine& machine, Instant sent, const ProbeResult& result) const {
-  if (isFailedProbe(machine, sent, result.outcome)) ++machine.failedProbes;
+  if (isFailedProbe(machine, sent, result.outcome)) {
+    ++machine.failedProbes;
+    machine.newestFailedProbe = sent;
+  }
   logDebug("probe unanswered", "machine", machine.id, "zone", machine.zone, "through",
            result.through ? result.through->value : "-", "outcome", toString(result.outcome),
            "sent_ms_ago", context_.runtime.now() - sent, "failed_probes", machine.failedProbes);
--- a/src/fleet/worker_prober_test.cpp
+++ b/src/fleet/worker_prober_test.cpp
@@ -28,5 +28,14 @@
   EXPECT_FALSE(isFailedProbe(machine, kSent, ProbeOutcome::unreachable));
 }
 
+// A machine that lived was given up, and its replicas waited 36 s for another, since the lost
+// answers of one probe that went two ways counted twice (limits-fall-faults, seed 72).
+TEST(FailedProbe, CountsOnceHoweverManyWaysItGoes) {
+  Machine machine = machineThatReportedAt(Instant{1000});
+  machine.newestFailedProbe = kSent;
+  EXPECT_FALSE(isFailedProbe(machine, kSent, ProbeOutcome::unreachable));
+  EXPECT_TRUE(isFailedProbe(machine, kSent + Duration{1500}, ProbeOutcome::unreachable));
+}
+
 }  // namespace
 }  // namespace kestrelhoist
