--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -94,6 +94,7 @@
   void noteAcknowledged(const MachineId& machine, const ZoneId& zone, Instant receivedAt);
   HeartbeatView heartbeatView(const Report& report) const;
   void addUnreachableLeader(const Report& report, HeartbeatView& v) const;
+  RedirectCandidate redirectCandidate(const Report& report) const;
   /// Answers as the leader. `via` is the peer that forwarded the heartbeat.
   Response serveReport(const Report& report, const std::optional<MemberId>& via);
   Response answerUnforwarded(const Report& report);
--- a/src/app/controller_heartbeats.cpp
+++ b/src/app/controller_heartbeats.cpp
@@ -102,11 +102,20 @@
   v.leaderUnreachableFor = v.now - *leaderUnreachableSince_;
   // A worker that has just come from a failover cycle has spent most of its lease, so it is
   // answered here first (16 of 24 replicas were left when it was redirected again at once).
+  const RedirectCandidate worker = redirectCandidate(report);
+  bool fresh = worker.sinceAcknowledged &&
+               *worker.sinceAcknowledged < platform_.reportEvery * 5 / 4 + Duration{1500};
+  v.mayRedirect = canary_.mayRedirect(*v.unreachableLeader, worker, v.now) &&
+                  (fresh || worker.idle || !mayRenewLocally(v));
+}
+
+RedirectCandidate Controller::redirectCandidate(const Report& report) const {
+  RedirectCandidate worker{report.machine, report.tasks.empty(), std::nullopt};
   auto acknowledged = ackLog_.entries().find(report.machine);
-  bool fresh = acknowledged != ackLog_.entries().end() &&
-               v.now - acknowledged->second < platform_.reportEvery * 5 / 4 + Duration{1500};
-  v.mayRedirect = canary_.mayRedirect(*v.unreachableLeader, report.tasks.empty(), v.now) &&
-                  (fresh || report.tasks.empty() || !mayRenewLocally(v));
+  if (acknowledged != ackLog_.entries().end()) {
+    worker.sinceAcknowledged = runtime_.now() - acknowledged->second;
+  }
+  return worker;
 }
 
 // A worker keeps its lease while no leader can be asked, under the token that it and this
@@ -128,7 +137,7 @@
   redirectedAt_[report.machine] = runtime_.now();
   if (to && replica_.leader() && *to == replica_.leader()->member &&
       !peerMembership_.recentStatus(*to, kPeerPresence)) {
-    canary_.onRedirected(*to, report.machine, runtime_.now());
+    canary_.onRedirected(*to, redirectCandidate(report), runtime_.now());
   }
   Json body = Json::object();
   if (to) body["steward"] = to->value;
