--- a/src/base/hedged_request.hpp
+++ b/src/base/hedged_request.hpp
@@ -36,7 +36,7 @@
         done_(std::move(done)) {}
 
   /// Sends the request. `onRepeated` is called if it is sent once more; it may be null.
-  void start(HedgeTimes times, std::function<void()> onRepeated) {
+  void start(HedgeTimes times, const std::function<void()>& onRepeated) {
     firstSentAt_ = runtime_.now();
     sendOnce(times.timeout);
     if (times.timeout <= times.repeatAfter) return;
--- a/src/connectivity/redirect_canary.hpp
+++ b/src/connectivity/redirect_canary.hpp
@@ -10,8 +10,8 @@
 
 /// A worker whose heartbeat has just arrived.
 struct RedirectCandidate {
-  MachineId machine;
-  bool idle{};  ///< it has no tasks to lose
+  MachineId machine;  ///< the worker's
+  bool idle{};        ///< it has no tasks to lose
   /// Since the arrival of its previous heartbeat that was acknowledged here; empty if there is
   /// none.
   std::optional<Duration> sinceAcknowledged;
--- a/src/metrics/metrics.hpp
+++ b/src/metrics/metrics.hpp
@@ -33,7 +33,8 @@
   /// A transaction of this node: "applied", "conflict", "refused", "unknown", ...
   void committed(const char* outcome, bool leading);
 
-  /// A request that nobody had answered yet was sent once more: "state_read", "forward", "commands".
+  /// A request that nobody had answered yet was sent once more: "state_read", "forward",
+  /// "commands".
   void repeated(const char* what);
 
   /// The leader requested a machine's release after this silence, counted from the newest
