--- a/tests/sim/world_checks.cpp
+++ b/tests/sim/world_checks.cpp
@@ -8,13 +8,13 @@
 std::int64_t ms(double s) { return static_cast<std::int64_t>(s * 1000); }
 }  // namespace
 
-// What is served, five times a second: by class and by team.
 void World::watchGaps() {
   constexpr std::int64_t kSampleEvery = 20;
   clock.in(kSampleEvery, [this] { watchGaps(); });
   for (auto& [id, gaps] : gaps_) gaps.sample(clock.now(), runningReplicas(id));
 }
 
+// What is served, five times a second: by class and by team.
 void World::watchService() {
   clock.in(200, [this] { watchService(); });
   constexpr std::int64_t kGrace = 60000;
