Tests: steps at a moment of a lease, and lost reads of changes

`at MACHINE before|after|known S STEP` plays a step so long before the lease of a machine ends, after it has ended, or after the leader could first know of the new session. `lose_reads TIMES` loses the answers to the leader's next reads.

--- a/simulator/model/simulated_region.hpp
+++ b/simulator/model/simulated_region.hpp
@@ -47,6 +47,10 @@
   void notice(std::int64_t ms);
   /// Hangs beyond its lease: its tasks end before it does anything else.
   bool leaseOver() const;
+  /// Milliseconds until its lease ends if no report is answered any more.
+  std::int64_t leaseLeft() const;
+  /// Counted from 1; each end of its lease begins another.
+  std::uint64_t session() const { return tenure_; }
   /// Neither hangs nor is about to be taken.
   bool takesWork() const { return !gone && !frozen() && noticeEnds_ == 0; }
   bool gone = false;
--- a/simulator/model/worker.cpp
+++ b/simulator/model/worker.cpp
@@ -24,6 +24,10 @@
   return region_.clock.now() - lastAnsweredSent_ > millis(region_.settings.leaseS) + 200;
 }
 
+std::int64_t Worker::leaseLeft() const {
+  return lastAnsweredSent_ + millis(region_.settings.leaseS) - region_.clock.now();
+}
+
 bool Worker::frozen() const { return region_.clock.now() < hangUntil_; }
 
 void Worker::whenAwake(std::function<void()> f) {
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -87,6 +87,8 @@
       {"hang", &Scenario::hangMachine},
       {"notice", &Scenario::giveTerminationNotice},
 
+      {"at", &Scenario::playAtMoment},
+
       {"run", &Scenario::runWorld},
       {"running", &Scenario::printRunning},
       {"tell", &Scenario::printSummary},
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -77,6 +77,16 @@
   void hangMachine(const Line& line);
   void giveTerminationNotice(const Line& line);
 
+  // At a moment of a machine's lease (scenario_steps_moments.cpp).
+  static constexpr std::int64_t kMomentStep = 1;  // ms between two looks at a lease
+  void playAtMoment(const Line& line);
+  void playBeforeLeaseEnds(const std::string& host, std::int64_t leftMs,
+                           const std::function<void()>& play);
+  void playAfterLeaseEnds(const std::string& host, std::uint64_t session, std::int64_t ms,
+                          const std::function<void()>& play);
+  void playWhenSessionKnown(const std::string& host, std::int64_t ms,
+                            const std::function<void()>& play);
+
   // Time, and what the scenario prints or remembers (scenario_steps_output.cpp).
   void runWorld(const Line& line);
   void printRunning(const Line& line);
--- a/tests/scenario_faults.cpp
+++ b/tests/scenario_faults.cpp
@@ -42,6 +42,7 @@
                                                                {"ask", {1, 2}},
                                                                {"late_reports", {1, 2}},
                                                                {"late_commands", {1, 2}},
+                                                               {"lose_reads", {1}},
                                                                {"crowd", {1}},
                                                                {"aborts", {2, 4, 6}},
                                                                {"close_looks", {1}},
@@ -72,6 +73,12 @@
     return "";
   };
   const auto& words = line.words;
+  if (words[0] == "at") {  // at MACHINE WHEN SECONDS STEP
+    constexpr std::size_t kStepFrom = 4;
+    if (words.size() <= kStepFrom) return "at needs a step";
+    if (auto why = bad(words[kStepFrom - 1]); !why.empty()) return why;
+    return wrongNumber({line.file, line.number, {words.begin() + kStepFrom, words.end()}});
+  }
   auto at = kPlaces.find(words[0]);
   if (at != kPlaces.end()) {
     for (int place : at->second) {
--- a/tests/scenario_faults.hpp
+++ b/tests/scenario_faults.hpp
@@ -96,6 +96,7 @@
   std::string busyMachine(const std::string& word) {
     auto busy = world_->machinesWithTasks();
     if (word == "busy") return busy.empty() ? "" : busy.front();
+    if (word == "second") return busy.size() < 2 ? "" : busy[1];  // of those with tasks
     for (const auto& [host, w] : world_->workers) {
       if (word == "spot" && w->spot && !w->gone) return host;
     }
--- a/tests/scenario_late_messages.cpp
+++ b/tests/scenario_late_messages.cpp
@@ -10,6 +10,9 @@
     lateReports(words);
   } else if (verb == "late_commands") {
     lateCommands(words);
+  } else if (verb == "lose_reads") {  // lose_reads TIMES
+    readsToLose_ = std::stoi(words.at(1));
+    listen();
   } else if (verb == "aborts") {
     aborts(words);
   } else if (verb == "crowd") {
@@ -42,6 +45,11 @@
 Network::Fate ScenarioLateMessages::fateOf(const std::string& from, const Request& request) {
   constexpr std::int64_t kWriteFrom = 2000, kWriteTo = 12000, kCommandFrom = 2000,
                          kCommandTo = 16000;
+  if (request.path.starts_with("/changes") && readsToLose_ > 0 &&
+      from == "node" + std::to_string(world_->leaderNode())) {
+    --readsToLose_;
+    return {0, true};
+  }
   if (request.path == "/commands" && falls(commands_)) {
     befalls(commands_, from);
     if (commands_.noticeMs > 0) noticeAtLaunch(request);
@@ -178,7 +186,9 @@
     if (q.path == "/hosts/release") reached("release");
     if (q.path == "/commands") watchOrders(*decodeBody(q.body));
   };
-  w.network.onAnswered = [this](const Request& q, const Response& r) {
+  w.network.onAnswered = [this, before = w.network.onAnswered](const Request& q,
+                                                               const Response& r) {
+    if (before) before(q, r);
     if (!awaiting_ || q.path != "/agent/beat" || r.status != 200) return;
     if (auto body = decodeBody(r.body)) watchOrders(*body);
   };
--- a/tests/scenario_late_messages.hpp
+++ b/tests/scenario_late_messages.hpp
@@ -156,6 +156,7 @@
   }
 
   Trouble writes_, commands_, reports_;
+  int readsToLose_ = 0;  // the answers to that many of the leader's next reads of changes
   std::string step_;
   bool awaiting_ = false, listening_ = false;
   std::int64_t nextEnd_ = 0;
--- /dev/null
+++ b/tests/scenario_steps_moments.cpp
@@ -0,0 +1,77 @@
+/// Steps of scenarios that come at a moment of a machine's lease, not at a time of the world.
+#include "scenario.hpp"
+
+namespace kestrelhoist::sim {
+namespace {
+
+// The report of this machine in a body: a report, or a batch of forwarded ones.
+const Json* reportOf(const std::string& host, const Json& body) {
+  if (body.is_array()) {
+    for (const auto& report : body) {
+      if (const Json* own = reportOf(host, report)) return own;
+    }
+    return nullptr;
+  }
+  return textField(body, "host") == host ? &body : nullptr;
+}
+
+}  // namespace
+
+// at MACHINE before|after|known SECONDS STEP: the step is played once, so long before the machine's
+// lease ends, after it has ended, or after the leader could first know of the new session
+void Scenario::playAtMoment(const Line& line) {
+  constexpr std::size_t kStepFrom = 4;
+  const auto& words = line.words;
+  const std::string host = busyMachine(words.at(1));
+  ASSERT_TRUE(world_->workers.contains(host)) << "no such machine";
+  Line inner{line.file, line.number, {words.begin() + kStepFrom, words.end()}};
+  for (auto& word : inner.words) {
+    if (word == words[1]) word = host;  // whichever has tasks by then
+  }
+  auto play = [this, inner] {
+    SCOPED_TRACE(inner.where());
+    step(inner);
+  };
+  const std::int64_t offset = toMilliseconds(words.at(3));
+  if (words.at(2) == "before") {
+    playBeforeLeaseEnds(host, offset, play);
+  } else if (words.at(2) == "after") {
+    playAfterLeaseEnds(host, world_->workers.at(host)->session(), offset, play);
+  } else {
+    ASSERT_EQ(words.at(2), "known");
+    playWhenSessionKnown(host, offset, play);
+  }
+}
+
+void Scenario::playBeforeLeaseEnds(const std::string& host, std::int64_t leftMs,
+                                   const std::function<void()>& play) {
+  if (world_->workers.at(host)->leaseLeft() <= leftMs) return play();
+  world_->clock.in(kMomentStep, [=, this] { playBeforeLeaseEnds(host, leftMs, play); });
+}
+
+void Scenario::playAfterLeaseEnds(const std::string& host, std::uint64_t session, std::int64_t ms,
+                                  const std::function<void()>& play) {
+  if (world_->workers.at(host)->session() != session) return world_->clock.in(ms, play);
+  world_->clock.in(kMomentStep, [=, this] { playAfterLeaseEnds(host, session, ms, play); });
+}
+
+// A message of the new session is known to a leader once it was answered, or has come in answer.
+void Scenario::playWhenSessionKnown(const std::string& host, std::int64_t ms,
+                                    const std::function<void()>& play) {
+  auto& network = world_->network;
+  const std::uint64_t session = world_->workers.at(host)->session();
+  network.onAnswered = [=, this, before = network.onAnswered, over = false](
+                           const Request& q, const Response& r) mutable {
+    if (before) before(q, r);
+    const bool heartbeat = q.path == "/agent/beat" || q.path.starts_with("/mesh/reports");
+    const bool command = q.path.ends_with("/commands");
+    if (over || (!heartbeat && !command) || (heartbeat && r.status != 200)) return;
+    auto body = decodeBody(heartbeat ? q.body : r.body);
+    const Json* report = body ? reportOf(host, *body) : nullptr;
+    if (!report || countField(*report, "tenure").value_or(0) <= session) return;
+    over = true;
+    world_->clock.in(ms, play);
+  };
+}
+
+}  // namespace kestrelhoist::sim
