Config: how long workers wait and retry stands in one place

redirect_canary, worker_transport, failure_detector and the controller each named the 4 s and 1 s of PROTOCOL ("Workers") on their own. No behaviour changes.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "app/controller_constants.hpp"
+#include "config/worker_timing.hpp"
 
 namespace kestrelhoist {
 namespace {
@@ -64,8 +65,8 @@
              [this] { return jobs_.catalogue(); }),
       policy_(runtime, store_, watcher_, replica_, policyReplica_, platform),
       election_({platform.member, incarnation, kLeaseLife, kLeaseRenew}),
-      // A worker whose request hangs waits 4 s and then 1 s before the next (PROTOCOL, "Workers").
-      canary_(Duration{5000} * static_cast<int>(platform.nodes() - 1) + Duration{1000},
+      canary_(kWorkerRetryAfterLostAnswer * static_cast<int>(platform.nodes() - 1) +
+                  kWorkerNextControllerDelay,
               platform.workerLease, platform.reportEvery) {
   replica_.add(policyReplica_);
   replica_.add(versions_);
--- a/src/connectivity/redirect_canary.cpp
+++ b/src/connectivity/redirect_canary.cpp
@@ -2,13 +2,13 @@
 
 #include <algorithm>
 
+#include "config/worker_timing.hpp"
+
 namespace kestrelhoist {
 namespace {
 
 constexpr std::size_t kMaxCanaries = 2;
 constexpr Duration kScheduleSlack{1000};
-// A worker drops an answer that takes longer (PROTOCOL, "Workers").
-constexpr Duration kLongestAnswer{4000};
 // On a detour a worker waits for three answers of this controller: the one before it, the redirect
 // and the one after it.
 constexpr int kAnswersOnDetour = 3;
@@ -23,8 +23,9 @@
 
 // Between an answer and the next heartbeat pass at least three quarters of the interval.
 Duration RedirectCanary::slowestAnswer(const RedirectCandidate& worker) const {
-  if (!worker.sinceAcknowledged) return kLongestAnswer;
-  return std::clamp(*worker.sinceAcknowledged - reportEvery_ * 3 / 4, Duration{0}, kLongestAnswer);
+  if (!worker.sinceAcknowledged) return kWorkerAnswerTimeout;
+  return std::clamp(*worker.sinceAcknowledged - reportEvery_ * 3 / 4, Duration{0},
+                    kWorkerAnswerTimeout);
 }
 
 bool RedirectCanary::outlivesDetour(const RedirectCandidate& worker) const {
--- a/src/connectivity/worker_transport.cpp
+++ b/src/connectivity/worker_transport.cpp
@@ -4,6 +4,8 @@
 #include <tuple>
 #include <utility>
 
+#include "config/worker_timing.hpp"
+
 namespace kestrelhoist {
 namespace {
 constexpr Duration kPeerStatusMaxAge{1500};
@@ -19,7 +21,7 @@
 // When the answer to a probe is overdue, and for how long it is accepted after all. A worker that
 // waits longer for an answer of its own gives up (PROTOCOL, "Workers").
 constexpr Duration kProbeAnswerDue{1500};
-constexpr Duration kProbePatience{4000};
+constexpr Duration kProbePatience = kWorkerAnswerTimeout;
 constexpr int kLateAnswerFactor = 2;  // times the round trip of a worker that answered late
 constexpr Duration kForgetLateAnswer{5 * 60 * 1000};
 // Requests sent within this time of each other count as sent at the same time.
--- a/src/fleet/failure_detector.cpp
+++ b/src/fleet/failure_detector.cpp
@@ -3,14 +3,12 @@
 #include <algorithm>
 #include <utility>
 
+#include "config/worker_timing.hpp"
 #include "fleet/fleet.hpp"
 
 namespace kestrelhoist {
 namespace {
 
-// A worker gives up on a report after 4 s and tries the next node 1 s later (PROTOCOL, "Workers").
-constexpr Duration kWorkerReportTimeout{4000};
-constexpr Duration kWorkerNextNodeDelay{1000};
 constexpr double kBootTimeoutFactor = 2.5;  // times the type's boot time
 
 TerminationVerdict lost(std::string reason) {
@@ -233,8 +231,7 @@
 FailureDetector::Timeout FailureDetector::silenceTimeout(const Machine& machine) const {
   Timeout timeout{failoverTime(), SilenceLimit::failover};
   if (!workersReachable_ && platform_.nodes() > 2) {
-    timeout.duration +=
-        static_cast<int>(platform_.nodes() - 2) * (kWorkerReportTimeout + kWorkerNextNodeDelay);
+    timeout.duration += static_cast<int>(platform_.nodes() - 2) * kWorkerRetryAfterLostAnswer;
   }
   if (mayBeCutOff(machine) && cutOffTimeout(machine) > timeout.duration) {
     timeout = {cutOffTimeout(machine),
@@ -271,7 +268,7 @@
 
 // A worker whose node went away reports to the next one after this long at worst.
 Duration FailureDetector::failoverTime() const {
-  return 2 * platform_.reportEvery + kWorkerReportTimeout + 2 * kWorkerNextNodeDelay;
+  return 2 * platform_.reportEvery + kWorkerAnswerTimeout + 2 * kWorkerNextControllerDelay;
 }
 
 }  // namespace kestrelhoist
