--- a/src/fleet/command_dispatcher.cpp
+++ b/src/fleet/command_dispatcher.cpp
@@ -3,6 +3,8 @@
 #include <utility>
 #include <vector>
 
+#include "fleet/direct_answer.hpp"
+
 namespace kestrelhoist {
 namespace {
 constexpr Duration kDirectTimeout{3000};
@@ -53,13 +55,7 @@
   if (response.status != 200 && response.status != 409 && response.status != 400) return;
   noteAcknowledged(machine.session, workerEpoch, commands);
   if (response.status == 400) return;
-  auto body = decodeBody(response.body);
-  auto report = body ? reportFrom(*body) : std::nullopt;
-  if (!report || report->machine != machine.id) return;
-  if (!fleet_.applyReport(*report, context_.runtime.now())) return;
-  // Only facts are taken from it; further commands go with the next report.
-  fleet_.commandsFor(machine, context_.runtime.now(), false);
-  onReport(machine);
+  if (applyDirectAnswer(fleet_, machine, response, context_.runtime.now())) onReport(machine);
 }
 
 // Each launch of the answered command has arrived or will never arrive.
--- a/src/fleet/worker_prober.cpp
+++ b/src/fleet/worker_prober.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/log.hpp"
+#include "fleet/direct_answer.hpp"
 
 namespace kestrelhoist {
 
@@ -129,13 +130,9 @@
 }
 
 void WorkerProber::onAnswer(Machine& machine, Instant sent, const Response& response) {
-  auto body = decodeBody(response.body);
-  auto report = body ? reportFrom(*body) : std::nullopt;
   const Instant now = context_.runtime.now();
-  if (!report || report->machine != machine.id) return;
-  if (!fleet_.applyReport(*report, now)) return;
+  if (!applyDirectAnswer(fleet_, machine, response, now)) return;
   logDebug("probe answered", "machine", machine.id, "after_ms", now - sent);
-  fleet_.commandsFor(machine, now, false);
   onReport(machine);
   context_.planInvalidated = true;
   context_.scheduleCycle();
