Fleet: workers are asked whether their session has ended when their lease can end

What callers saw: replicas that were gone with their machine's lease came back only after 1.4 s in the median, up to 5 s, on machines that keep their image, live and answer: a third of the spells of missing replicas lasted over 1 s.

Cause: nobody asked at the moment at which the lease ends. A worker whose answers are lost sends its next heartbeat 5 s after the last one, and probes of overdue machines come 2.5 to 3 s apart whatever is known; one whose answer is lost holds up the next by 1.5 s.

Why this works: LeaseEstimate knows for each worker the last heartbeat whose answer is known to have arrived: a worker that was answered stays at its controller and reports within its interval, one that was not goes to the next controller after 5 s (PROTOCOL, "Workers"). From there the lease runs. LeaseEndProber asks at the earliest end and again a few times: machines with production replicas first, 24 at a time, none in a zone that is out of reach. It is an estimate: it says when to ask. A task still leaves its record only by a report of a later session, and an unanswered question is no evidence against a machine.

Bad input (copies, late heartbeats, earlier sessions) changes no estimate, and is logged once. Counted in kestrelhoist_lease_end_probes_total{answer}.

--- a/src/app/controller_heartbeats.cpp
+++ b/src/app/controller_heartbeats.cpp
@@ -157,7 +157,8 @@
     return reject();
   }
   if (via) workerTransport_.noteReport(report.address, report.zone, via);
-  return leader_->onReport(report, watcher_.contactAge() < kStoreSilent);
+  return leader_->onReport(report, via.value_or(platform_.member),
+                           watcher_.contactAge() < kStoreSilent);
 }
 
 }  // namespace kestrelhoist
--- a/src/app/controller_leadership.cpp
+++ b/src/app/controller_leadership.cpp
@@ -115,6 +115,7 @@
   context.onCommandsRepeated = [this] { countRepeat("commands"); };
   if (metrics_) {
     context.onGivenUpForSilence = [this](Duration silence) { metrics_->machineGivenUp(silence); };
+    context.onLeaseEndProbe = [this](const char* answer) { metrics_->leaseEndProbed(answer); };
   }
   leader_ = std::make_unique<Leader>(context, planner_, policyReplica_, [this](const ZoneId& zone) {
     return std::any_of(platform_.peers.begin(), platform_.peers.end(), [&](const Peer& p) {
--- a/src/app/leader.cpp
+++ b/src/app/leader.cpp
@@ -37,6 +37,7 @@
       dispatcher_(context_, fleet_),
       repeater_([this](const MachineId& machine) { return dispatcher_.sendCommands(machine); }),
       prober_(context_, fleet_),
+      leaseEndProber_(context_, fleet_),
       outcomes_(context_, fleet_),
       forecasts_{{}, std::mt19937_64(context_.token.value)},
       machineList_(context_, fleet_, prober_),
@@ -89,7 +90,7 @@
   };
   repeater_.onRepeated = context_.onCommandsRepeated;
   dispatcher_.onReport = [this](Machine& machine) { outcomes_.noteOutcomes(machine); };
-  prober_.onReport = [this](Machine& machine) {
+  prober_.onReport = leaseEndProber_.onReport = [this](Machine& machine) {
     outcomes_.noteOutcomes(machine);
     repeater_.expectConfirmation(machine.id, context_.runtime.now());
   };
@@ -145,6 +146,7 @@
                                context_.workersReachedSince(now - kWorkersReachableWithin));
     detectFailures(now);
     prober_.probeOverdue();
+    leaseEndProber_.schedule(kTimersPerFailureDetection * kTick);
   }
   repeater_.repeatDue(now);
   machineList_.onTimer();
@@ -268,7 +270,7 @@
   }));
 }
 
-Response Leader::onReport(const Report& report, bool sure) {
+Response Leader::onReport(const Report& report, const MemberId& receivedBy, bool sure) {
   if (fleet_.isReleased(report.machine)) {
     // The machine has certainly been released; this heartbeat was delayed in the network.
     return jsonResponse(503, {{"error", "released"}});
@@ -276,7 +278,7 @@
   Instant now = context_.runtime.now();
   const Machine* before = fleet_.find(report.machine);
   bool wasUsable = before && fleet_.usable(*before, now);
-  auto commands = fleet_.onReport(report, now, sure);
+  auto commands = fleet_.onReport(report, receivedBy, now, sure);
   Machine& m = *fleet_.find(report.machine);
   if (!wasUsable && fleet_.usable(m, now)) {
     context_.planInvalidated = true;
--- a/src/app/leader.hpp
+++ b/src/app/leader.hpp
@@ -5,6 +5,7 @@
 #include "cloud/machine_list_loop.hpp"
 #include "cloud/termination_loop.hpp"
 #include "fleet/command_repeater.hpp"
+#include "fleet/lease_end_prober.hpp"
 #include "flows/flow_loop.hpp"
 #include "policy/policy_loop.hpp"
 
@@ -21,8 +22,9 @@
   Leader(const Leader&) = delete;
   Leader& operator=(const Leader&) = delete;
 
-  /// Answers a worker's heartbeat. `sure` says that the state service was reached a moment ago.
-  Response onReport(const Report& report, bool sure);
+  /// Answers a worker's heartbeat that `receivedBy` received. `sure` says that the state service
+  /// was reached a moment ago.
+  Response onReport(const Report& report, const MemberId& receivedBy, bool sure);
   /// The replica has taken in these changes from the change feed. They may show that the commit
   /// under way was applied although its answer is lost.
   void onChangesApplied(const std::vector<Change>& changes);
@@ -64,6 +66,7 @@
   CommandDispatcher dispatcher_;
   CommandRepeater repeater_;
   WorkerProber prober_;
+  LeaseEndProber leaseEndProber_;
   ConfirmedOutcomes outcomes_;
   DemandForecasts forecasts_;
   MachineListLoop machineList_;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -1,8 +1,10 @@
 #include "fleet/fleet.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/log.hpp"
+#include "config/worker_timing.hpp"
 #include "placement/planner.hpp"
 
 namespace kestrelhoist {
@@ -11,8 +13,6 @@
 constexpr Duration kLateMargin{1000};
 // Until a peer that ended has refused a connection, or is back.
 constexpr Duration kEndedPeersNoticed{2000};
-// After a lost answer a worker sends its next heartbeat 5 s later (PROTOCOL, "Workers").
-constexpr Duration kRetryAfterLostAnswer{5000};
 // A heartbeat that a peer forwards is received by the leader within this time, or not at all.
 constexpr Duration kForwardedWithin{2000};
 
@@ -24,13 +24,14 @@
 // Whether the worker may be waiting for an answer that is lost: its next heartbeat is not due.
 bool mayStillRetry(const WorkerSession& session, Instant now) {
   return session.lastHeartbeatAt &&
-         now - *session.lastHeartbeatAt <= kRetryAfterLostAnswer + kLateMargin;
+         now - *session.lastHeartbeatAt <= kWorkerRetryAfterLostAnswer + kLateMargin;
 }
 }  // namespace
 
 Fleet::Fleet(const Platform& platform, const Replica& replica, FencingToken token, Instant now)
     : platform_(platform),
       replica_(replica),
+      leaseTerms_{platform.workerLease, platform.reportEvery, platform.nodes()},
       token_(token),
       leaderSince_(now),
       lastReportOfAny_(now),
@@ -56,6 +57,7 @@
   const bool first = !machine.hasReported();
   const bool leaseEnded = !first && report.workerEpoch > machine.session.lastReport->workerEpoch;
   if (!updateSession(machine.session, report, now, isHeartbeat)) return false;
+  machine.lease.onSession(report.workerEpoch, now, leaseTerms_);
   if (isHeartbeat) {
     machine.notReportingSince.reset();
   } else if (!machine.notReportingSince && (leaseEnded || beginsUnheard(machine.session)) &&
@@ -107,8 +109,20 @@
   }
 }
 
-std::vector<WorkerCommand> Fleet::onReport(const Report& report, Instant now, bool mayLaunch) {
+// A heartbeat that comes late, or as a copy, says nothing of which answers arrived.
+void Fleet::updateLease(const Report& report, const MemberId& receivedBy, Instant now) {
+  Machine& machine = machines_[report.machine];
+  const HeartbeatArrival arrival{report.workerEpoch, report.sequence, receivedBy, now};
+  if (machine.lease.onHeartbeat(arrival, leaseTerms_)) return;
+  if (std::exchange(loggedLateHeartbeat_, true)) return;
+  logInfo("first heartbeat that is older than one before it", "machine", report.machine,
+          "worker_epoch", report.workerEpoch, "sequence", report.sequence);
+}
+
+std::vector<WorkerCommand> Fleet::onReport(const Report& report, const MemberId& receivedBy,
+                                           Instant now, bool mayLaunch) {
   applyReport(report, now, true);
+  updateLease(report, receivedBy, now);
   return commandsFor(machines_.at(report.machine), now, mayLaunch);
 }
 
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -12,6 +12,7 @@
 #include "failures/failure_attribution.hpp"
 #include "fleet/failure_detector.hpp"
 #include "fleet/image_cache.hpp"
+#include "fleet/lease_estimate.hpp"
 #include "fleet/reconcile.hpp"
 #include "store/replica.hpp"
 
@@ -27,6 +28,7 @@
   ZoneId zone;
   bool spot{};
   WorkerSession session;
+  LeaseEstimate lease;
   std::optional<Instant> terminationNoticeEnds;  ///< About when the cloud reclaims it.
   Listed listed = Listed::never;
   int missedLists{};
@@ -58,9 +60,10 @@
   Fleet(const Fleet&) = delete;  ///< The failure detector refers to it.
   Fleet& operator=(const Fleet&) = delete;
 
-  /// Applies a worker's heartbeat and returns the commands that answer it. `mayLaunch`: the leader
-  /// is sure of its leadership.
-  std::vector<WorkerCommand> onReport(const Report& report, Instant now, bool mayLaunch);
+  /// Applies a worker's heartbeat and returns the commands that answer it. `receivedBy`: the
+  /// controller to which the worker sent it. `mayLaunch`: the leader is sure of its leadership.
+  std::vector<WorkerCommand> onReport(const Report& report, const MemberId& receivedBy, Instant now,
+                                      bool mayLaunch);
   /// Returns the commands for a machine at any other moment, from its newest report.
   std::vector<WorkerCommand> commandsFor(Machine& machine, Instant now, bool mayLaunch);
   /// Applies a report; false if it was not newer. `isHeartbeat`: the worker sent it of its own
@@ -117,6 +120,13 @@
   /// Whether a machine that this leader has no report of may have tasks: its worker may report to
   /// a controller that can do nothing for it, so that it is worth a direct probe, too.
   bool hasUnconfirmedTasks(const Machine& machine, Instant now) const;
+  /// The earliest end of the worker's present lease; empty if nothing is known of it.
+  std::optional<Instant> earliestLeaseEnd(const Machine& machine) const {
+    return machine.lease.earliestEnd(leaseTerms_);
+  }
+  /// Whether the worker's lease ends unless one of its next answers arrives, since those before it
+  /// were lost.
+  bool isLeaseAtRisk(const Machine& machine) const { return machine.lease.isAtRisk(leaseTerms_); }
   /// The newest sign of life that is known of a machine, and from where.
   SignOfLife signOfLife(const Machine& machine) const;
   Instant lastSignOfLife(const Machine& machine) const { return signOfLife(machine).at; }
@@ -160,6 +170,7 @@
   DesiredState desiredStateOf(const Machine& machine, const AttemptId& id, Instant now) const;
   DesiredState desiredStateUnderNotice(const Machine& machine, const AttemptId& id,
                                        const JobSpec& spec, Instant now) const;
+  void updateLease(const Report& report, const MemberId& receivedBy, Instant now);
   void logRegistration(const Machine& machine) const;
   void applyNotice(Machine& machine, Instant now) const;
   void updateFirstSeenRunning(Machine& machine, Instant now) const;
@@ -173,6 +184,7 @@
 
   const Platform& platform_;
   const Replica& replica_;
+  const LeaseTerms leaseTerms_;
   FencingToken token_;
   Instant leaderSince_;
   Instant lastReportOfAny_{};
@@ -189,6 +201,7 @@
   std::uint32_t lost_ = 0;
   std::uint32_t neverBooted_ = 0;
   std::size_t reportingCount_ = 0;
+  bool loggedLateHeartbeat_ = false;
   const Catalogue* catalogue_ = nullptr;
   FailureDetector failureDetector_;
 };
--- a/src/leadership/leader_context.hpp
+++ b/src/leadership/leader_context.hpp
@@ -51,6 +51,8 @@
   std::function<void(Duration)> onGivenUpForSilence{};
   /// Called when commands are sent to a machine once more; may be null.
   std::function<void()> onCommandsRepeated{};
+  /// Called with the name of what came of a probe at the end of a worker's lease; may be null.
+  std::function<void(const char*)> onLeaseEndProbe{};
   std::function<void(std::optional<Commit>)>
       finishStep{};  ///< ends an asynchronous step, with or without a commit
 
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -38,6 +38,8 @@
   prometheus::Family<prometheus::Counter>& repeats = family<prometheus::Counter>(
       registry, "repeats_total",
       "requests sent once more as nobody had answered, by what they are");
+  prometheus::Family<prometheus::Counter>& leaseEndProbes = family<prometheus::Counter>(
+      registry, "lease_end_probes_total", "probes at the end of workers' leases, by answer");
   prometheus::Histogram& silence =
       family<prometheus::Histogram>(
           registry, "machine_silence_seconds",
@@ -69,6 +71,10 @@
 
 void Metrics::machineGivenUp(Duration silence) { f_->silence.Observe(toSeconds(silence)); }
 
+void Metrics::leaseEndProbed(const char* answer) {
+  f_->leaseEndProbes.Add({{"answer", answer}}).Increment();
+}
+
 std::string Metrics::text() {
   if (gauges) {
     MetricGauges g = gauges();
--- a/src/metrics/metrics.hpp
+++ b/src/metrics/metrics.hpp
@@ -41,6 +41,9 @@
   /// acknowledged heartbeat that it knows of.
   void machineGivenUp(Duration silence);
 
+  /// A worker was probed at the end of its lease: "same_session", "new_session", "none".
+  void leaseEndProbed(const char* answer);
+
   std::function<MetricGauges()> gauges;
   std::string text();
 
