Planner: a machine whose lease may end within seconds gets work only after others

What callers saw: replicas that were placed, ran for 2 s and were gone again with their machine's lease.

Cause: nobody kept in mind that a machine's last answers were lost. A machine counts as good for work as long as its newest heartbeat is recent, however little is left of its lease.

The planner counts that like 5 s of fetching, which is about what goes with the lease; a machine at risk is used where no other has room.

--- a/src/placement/machine_score.cpp
+++ b/src/placement/machine_score.cpp
@@ -19,11 +19,19 @@
 // More than half of a machine for protected services: what only lower ranks use beside them is
 // where those of a lost zone or machine find room with the image held.
 constexpr double kMoreThanHalf = 20.0;
+// A machine whose worker may lose its tasks soon: about what is lost with them until they run
+// again, as seconds of fetching.
+constexpr double kLeaseAtRisk = 5 * kPerSecondOfFetch;
 // A full machine is worth so much more than an empty one, so that whole machines fall idle.
 constexpr double kFullMachine = 10.0;
 // All tasks must follow into the zone of the first: the one with the most room.
 constexpr double kPerMachineFreeInZone = 1000.0;
 
+// Whether work is lost, and people notice, when a task is killed seconds after its start.
+bool suffersFromRestart(const JobSpec& spec) {
+  return spec.kind != JobKind::array || !spec.checkpoints();
+}
+
 }  // namespace
 
 MachineScore::MachineScore(const PlanInput& input, const PlanState& state,
@@ -43,6 +51,7 @@
   score += spotBonus(machine);
   score -= failurePenalty(m);
   score -= otherImagePenalty(m);
+  score -= leasePenalty(machine);
   if (placement_.spec().kind == JobKind::service) {
     score -= protectedSharePenalty(m);
     score -= siblingPenalty(m);
@@ -66,6 +75,10 @@
   return placement_.job().failedOn.contains(m) ? kFailedHere : 0;
 }
 
+double MachineScore::leasePenalty(const PlanMachine& machine) const {
+  return machine.leaseAtRisk && suffersFromRestart(placement_.spec()) ? kLeaseAtRisk : 0;
+}
+
 double MachineScore::otherImagePenalty(std::size_t m) const {
   return input_.machines[m].keptForImage && !placement_.holdsImage(m) ? kKeepsAnother : 0;
 }
--- a/src/placement/machine_score.hpp
+++ b/src/placement/machine_score.hpp
@@ -23,6 +23,7 @@
   double spotBonus(const PlanMachine& machine) const;
   double failurePenalty(std::size_t machine) const;
   double otherImagePenalty(std::size_t machine) const;
+  double leasePenalty(const PlanMachine& machine) const;
   double protectedSharePenalty(std::size_t machine) const;
   double siblingPenalty(std::size_t machine) const;
   double zonePenalty(std::uint32_t zone) const;
--- a/src/placement/planner.hpp
+++ b/src/placement/planner.hpp
@@ -47,6 +47,7 @@
   bool spot{};
   bool usable{};                    ///< may get new work now
   bool keptForImage{};              ///< kept for the image that it holds
+  bool leaseAtRisk{};               ///< its worker may lose its tasks within seconds
   double protectedShare{};          ///< share of it that protected services take
   Resources capacity;               ///< of the whole machine
   Resources free;                   ///< now
--- a/src/placement/planner_test.cpp
+++ b/src/placement/planner_test.cpp
@@ -66,6 +66,20 @@
   EXPECT_EQ(plan.unplaced[0], 0U);
 }
 
+// A replica went to a machine whose last two answers were lost and was gone with its lease 2 s
+// later (limits-fall-faults with cache 1, seed 563).
+TEST(Planner, AReplicaGoesToAMachineWhoseLeaseIsAtRiskOnlyIfNoOtherHasRoom) {
+  auto in = inputWith(spec("j-000001", JobKind::service, Priority::production, 3));
+  in.machines.push_back(machine("at-risk", 0, true));
+  in.machines.push_back(machine("safe", 0, true));
+  in.machines[0].leaseAtRisk = true;
+  auto plan = makePlan(in);
+  ASSERT_EQ(plan.placements.size(), 3U);
+  EXPECT_EQ(plan.placements[0].machine, 1U);
+  EXPECT_EQ(plan.placements[1].machine, 1U);
+  EXPECT_EQ(plan.placements[2].machine, 0U);
+}
+
 TEST(Planner, LessImportantWorkGoesFromAMachineThatHasTheImage) {
   auto in = inputWith(spec("j-000001", JobKind::service, Priority::production, 1));
   in.machines.push_back(machine("warm", 0, true));
