Worker prober: a worker that refuses a request for its session is shown the token at once

What callers saw: after a change of leader replicas waited 6 s more for a machine that had answered, at heartbeats every 8 s, and another machine was rented.

Cause: a new leader asks with the session that is on record. The worker is in a later one and answers 409, which does not show it the leader's token; without that it counts as no machine for work until two more of its heartbeats are answered.

Why this works: the same request with the session that the worker has just reported is carried out, and its report carries the token. A refusal for a higher token is not repeated.

--- a/src/fleet/lease_end_prober.cpp
+++ b/src/fleet/lease_end_prober.cpp
@@ -5,6 +5,7 @@
 
 #include "base/log.hpp"
 #include "fleet/direct_answer.hpp"
+#include "fleet/worker_prober.hpp"
 
 namespace kestrelhoist {
 namespace {
@@ -129,6 +130,9 @@
   onReport(*machine);
   context_.planInvalidated = true;
   context_.scheduleCycle();
+  if (refusedForItsSession(*machine, context_.token)) {
+    probe({ending.machine, machine->session.lastReport->workerEpoch, ending.end});
+  }
 }
 
 }  // namespace kestrelhoist
--- a/src/fleet/worker_prober.cpp
+++ b/src/fleet/worker_prober.cpp
@@ -17,6 +17,10 @@
   return outcome == ProbeOutcome::unreachable && !reportedSince && !isCounted;
 }
 
+bool refusedForItsSession(const Machine& machine, FencingToken token) {
+  return machine.hasReported() && machine.session.lastReport->token < token;
+}
+
 // DESIGN: a new leader waits one full report round before placing or giving back. Where reports
 // come seldom it asks for them: the round is over when each machine has reported or was asked in
 // vain.
@@ -136,6 +140,7 @@
   onReport(machine);
   context_.planInvalidated = true;
   context_.scheduleCycle();
+  if (refusedForItsSession(machine, context_.token)) probe(machine);
 }
 
 }  // namespace kestrelhoist
--- a/src/fleet/worker_prober.hpp
+++ b/src/fleet/worker_prober.hpp
@@ -19,6 +19,11 @@
 /// unless the way to it is known to work, nor if a report has come since.
 bool isFailedProbe(const Machine& machine, Instant sent, ProbeOutcome outcome);
 
+/// Whether the worker has not taken up this leader's token although it was shown to it: it refuses
+/// direct requests that name another session than its own. The same request with the session that
+/// it reported shows it the token, without which the machine gets no work.
+bool refusedForItsSession(const Machine& machine, FencingToken token);
+
 /// Probes workers while this controller leads. Only facts are taken from the answers; commands go
 /// with the next heartbeat.
 class WorkerProber {
