Logs: what a replica's way back waits for can be told from debug lines

New sessions, probes, direct commands, commands in answers to heartbeats, commits without a result; the machine's silence when a task is placed, and the member that became leader.

--- a/src/app/leader.cpp
+++ b/src/app/leader.cpp
@@ -52,7 +52,7 @@
       writes_(context_.platform.stateWritesPerS * kLeaderWriteShare,
               std::max<double>(context_.platform.stateWritesPerS * kLeaderWriteShare,
                                static_cast<double>(context_.platform.transactionOps))) {
-  logInfo("became leader", "token", context_.token);
+  logInfo("became leader", "token", context_.token, "member", context_.platform.member);
   connectLoops();
   fleet_.onGivenUpForSilence = context_.onGivenUpForSilence;
   if (context_.replica.catalogue()) {
@@ -227,6 +227,8 @@
       return;
     case CommitOutcome::refused:
     case CommitOutcome::unknown:
+      logDebug("commit without result, sending again", "refused",
+               result.outcome == CommitOutcome::refused, "what", sent->commit.what);
       context_.runtime.after(kRetry, context_.whileLeading([this, sent] { send(sent); }));
       return;
   }
@@ -285,6 +287,10 @@
     scheduleCycle();
   }
   outcomes_.noteOutcomes(m);
+  if (!commands.empty()) {
+    logDebug("heartbeat answered with commands", "machine", report.machine, "commands",
+             commands.size());
+  }
   if (changesTasks(commands)) repeater_.expectConfirmation(report.machine, now);
   return jsonResponse(200, reportResponseToJson(context_.token, commands));
 }
--- a/src/fleet/command_dispatcher.cpp
+++ b/src/fleet/command_dispatcher.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/log.hpp"
 #include "fleet/direct_answer.hpp"
 
 namespace kestrelhoist {
@@ -39,6 +40,8 @@
   const WorkerEpoch workerEpoch = session.lastReport->workerEpoch;
   Request request{"POST", "/commands",
                   encodeBody(commandRequestToJson(context_.token, workerEpoch, commands))};
+  logDebug("commands sent", "machine", id, "worker_epoch", workerEpoch, "commands",
+           commands.size());
   context_.workers.send(
       session.lastReport->address, std::move(request), kDirectTimeout,
       context_.whileLeading([this, id, workerEpoch, commands = std::move(commands)](
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -58,6 +58,10 @@
   const bool leaseEnded = !first && report.workerEpoch > machine.session.lastReport->workerEpoch;
   if (!updateSession(machine.session, report, now, isHeartbeat)) return false;
   machine.lease.onSession(report.workerEpoch, now, leaseTerms_);
+  if (leaseEnded) {
+    logDebug("worker session is new", "machine", machine.id, "worker_epoch", report.workerEpoch,
+             "heartbeat", isHeartbeat);
+  }
   if (isHeartbeat) {
     machine.notReportingSince.reset();
   } else if (!machine.notReportingSince && (leaseEnded || beginsUnheard(machine.session)) &&
--- a/src/fleet/worker_prober.cpp
+++ b/src/fleet/worker_prober.cpp
@@ -88,6 +88,8 @@
   if (!awaited_.insert(machine.id).second) return;
   const Instant now = context_.runtime.now();
   machine.probedAt = now;
+  logDebug("probe sent", "machine", machine.id, "silent_ms",
+           machine.hasReported() ? now - machine.session.lastReportAt : now - context_.electedAt);
   Request request{"POST", "/commands",
                   encodeBody(commandRequestToJson(context_.token, probedEpoch(machine), {}))};
   context_.workers.probe(
--- a/src/placement/task_loop.cpp
+++ b/src/placement/task_loop.cpp
@@ -65,7 +65,8 @@
       context_.planInvalidated = true;
       continue;
     }
-    logDebug("placing task", "job", id, "task", index, "machine", machine->id);
+    logDebug("placing task", "job", id, "task", index, "machine", machine->id, "silent_ms",
+             now - machine->session.lastReportAt);
     ++index;
     ++result.placements;
     result.machines.insert(machine->id);
