Fleet: a heartbeat that a direct answer has overtaken still counts as one

Cause: updateSession leaves out a report that is not the newest before it notes when the worker last sent a heartbeat. If the answer to a probe overtakes the heartbeat, the next probe finds a new session and no heartbeat for over 6 s, and takes the worker for one that reaches no controller; it gets no work until a heartbeat comes.

The test fails without the change.

Why this works: such a heartbeat is noted by its sequence, so that copies of it are not; the older report is still not taken in.

--- a/src/fleet/reconcile.cpp
+++ b/src/fleet/reconcile.cpp
@@ -128,11 +128,19 @@
   std::vector<WorkerCommand> commands_;
 };
 
+void noteHeartbeat(WorkerSession& session, const Report& report, Instant now) {
+  session.lastHeartbeatSequence = report.sequence;
+  session.lastHeartbeatEpoch = report.workerEpoch;
+  session.lastHeartbeatAt = now;
+}
+
 }  // namespace
 
 bool updateSession(WorkerSession& session, const Report& report, Instant now, bool isHeartbeat) {
-  if (session.lastReport && isHeartbeat && report.workerEpoch == session.lastReport->workerEpoch) {
-    session.lastHeartbeatSequence = std::max(session.lastHeartbeatSequence, report.sequence);
+  // Also a heartbeat that the answer to a direct request has overtaken.
+  if (session.lastReport && isHeartbeat && report.workerEpoch == session.lastReport->workerEpoch &&
+      report.sequence > session.lastHeartbeatSequence) {
+    noteHeartbeat(session, report, now);
   }
   if (session.lastReport &&
       std::pair(report.workerEpoch, report.sequence) <=
@@ -145,11 +153,7 @@
     session.launchSequences.clear();
     session.lastHeartbeatSequence = {};
   }
-  if (isHeartbeat) {
-    session.lastHeartbeatSequence = report.sequence;
-    session.lastHeartbeatEpoch = report.workerEpoch;
-    session.lastHeartbeatAt = now;
-  }
+  if (isHeartbeat) noteHeartbeat(session, report, now);
   session.lastReport = report;
   session.lastReportAt = now;
   return true;
--- a/src/fleet/reconcile_test.cpp
+++ b/src/fleet/reconcile_test.cpp
@@ -33,6 +33,18 @@
   bool gone() { return session.outcomes.contains(kTask); }
 };
 
+// A worker that waited for a lost answer was taken for one that sends no heartbeats, and its
+// machine got no work for 9.6 s (limits-fall-faults with cache 1, seed 710).
+TEST_F(Fixture, AHeartbeatThatADirectAnswerOvertakesCountsAndItsCopiesDoNot) {
+  updateSession(session, report(2, 1, 5), Instant{1000});
+  updateSession(session, report(2, 3, 5), Instant{2000}, false);
+  EXPECT_FALSE(updateSession(session, report(2, 2, 5), Instant{2500}));
+  EXPECT_EQ(session.lastHeartbeatAt, Instant{2500});
+  EXPECT_EQ(session.lastReport->sequence, ReportSequence{3});
+  EXPECT_FALSE(updateSession(session, report(2, 2, 5), Instant{9000}));
+  EXPECT_EQ(session.lastHeartbeatAt, Instant{2500});
+}
+
 TEST_F(Fixture, MissingTaskIsLaunchedAgainNotGivenUp) {
   auto commands = hear(report(2, 1, 5));
   ASSERT_EQ(commands.size(), 1U);
