Lease end prober: many leases that end at once, and slow links

Now the probes between two passes are bounded, not the machines, and answers are awaited for as long as a worker waits for its own. A worker is shown the token again only after a request that named an earlier session than its own, so that one which never takes it up is not asked without end.

--- a/src/fleet/lease_end_prober.cpp
+++ b/src/fleet/lease_end_prober.cpp
@@ -4,6 +4,7 @@
 #include <array>
 
 #include "base/log.hpp"
+#include "config/worker_timing.hpp"
 #include "fleet/direct_answer.hpp"
 #include "fleet/worker_prober.hpp"
 
@@ -15,8 +16,7 @@
 constexpr std::array<Duration, 9> kProbesAfterEnd{Duration{0},    Duration{200},  Duration{400},
                                                   Duration{700},  Duration{1200}, Duration{1700},
                                                   Duration{2400}, Duration{3200}, Duration{4200}};
-constexpr Duration kAnswerTimeout{1500};
-constexpr std::size_t kMostMachines = 24;  // that are probed at the same time
+constexpr std::size_t kMostProbes = 48;  // between two calls of schedule()
 // Clocks drift apart by up to 0.05% (PROTOCOL), and the heartbeat was sent before it arrived.
 constexpr int kDriftDivisor = 2000;
 constexpr Duration kTransit{10};
@@ -37,8 +37,8 @@
 
 void LeaseEndProber::schedule(Duration horizon) {
   const Instant now = context_.runtime.now();
+  probesLeft_ = kMostProbes;
   for (Machine* machine : endingWithin(horizon)) {
-    if (scheduled_.size() >= kMostMachines) return;
     const Ending ending{machine->id, machine->session.lastReport->workerEpoch,
                         *fleet_.earliestLeaseEnd(*machine)};
     const Instant begin = ending.end + context_.platform.workerLease / kDriftDivisor + kTransit;
@@ -92,7 +92,10 @@
     scheduled_.erase(ending.machine);
     return;
   }
-  probe(ending);
+  if (probesLeft_ > 0) {
+    --probesLeft_;
+    probe(ending);
+  }
   const bool isLast = probes + 1 == kProbesAfterEnd.size();
   const Duration pause =
       isLast ? Duration{0} : kProbesAfterEnd.at(probes + 1) - kProbesAfterEnd.at(probes);
@@ -106,7 +109,7 @@
   Request request{"POST", "/commands",
                   encodeBody(commandRequestToJson(context_.token, ending.workerEpoch, {}))};
   context_.workers.send(
-      machine.address, std::move(request), kAnswerTimeout,
+      machine.address, std::move(request), kWorkerAnswerTimeout,
       context_.whileLeading([this, ending](const std::optional<Response>& response) {
         onResponse(ending, response);
       }));
@@ -130,7 +133,7 @@
   onReport(*machine);
   context_.planInvalidated = true;
   context_.scheduleCycle();
-  if (refusedForItsSession(*machine, context_.token)) {
+  if (refusedForItsSession(*machine, ending.workerEpoch, context_.token)) {
     probe({ending.machine, machine->session.lastReport->workerEpoch, ending.end});
   }
 }
--- a/src/fleet/lease_end_prober.hpp
+++ b/src/fleet/lease_end_prober.hpp
@@ -51,6 +51,7 @@
   LeaderContext& context_;
   Fleet& fleet_;
   std::set<MachineId> scheduled_;  ///< machines that are being probed, or will be
+  std::size_t probesLeft_ = 0;     ///< until the next call of schedule()
 };
 
 }  // namespace kestrelhoist
--- a/src/fleet/worker_prober.cpp
+++ b/src/fleet/worker_prober.cpp
@@ -17,8 +17,10 @@
   return outcome == ProbeOutcome::unreachable && !reportedSince && !isCounted;
 }
 
-bool refusedForItsSession(const Machine& machine, FencingToken token) {
-  return machine.hasReported() && machine.session.lastReport->token < token;
+bool refusedForItsSession(const Machine& machine, WorkerEpoch requested, FencingToken token) {
+  if (!machine.hasReported()) return false;
+  const Report& report = *machine.session.lastReport;
+  return report.workerEpoch > requested && report.token < token;
 }
 
 // DESIGN: a new leader waits one full report round before placing or giving back. Where reports
@@ -90,12 +92,12 @@
   machine.probedAt = now;
   logDebug("probe sent", "machine", machine.id, "silent_ms",
            machine.hasReported() ? now - machine.session.lastReportAt : now - context_.electedAt);
-  Request request{"POST", "/commands",
-                  encodeBody(commandRequestToJson(context_.token, probedEpoch(machine), {}))};
+  const WorkerEpoch epoch = probedEpoch(machine);
+  Request request{"POST", "/commands", encodeBody(commandRequestToJson(context_.token, epoch, {}))};
   context_.workers.probe(
       machine.address, machine.zone, std::move(request),
-      context_.whileLeading([this, id = machine.id, sent = now](const ProbeResult& result) {
-        onResult(id, sent, result);
+      context_.whileLeading([this, id = machine.id, sent = now, epoch](const ProbeResult& result) {
+        onResult(id, {sent, epoch}, result);
       }));
 }
 
@@ -108,16 +110,17 @@
   return epoch;
 }
 
-void WorkerProber::onResult(const MachineId& id, Instant sent, const ProbeResult& result) {
+void WorkerProber::onResult(const MachineId& id, const SentProbe& probe,
+                            const ProbeResult& result) {
   Machine* machine = fleet_.find(id);
   // The result of an earlier probe may come after a newer one was sent.
-  if (!machine || machine->probedAt == sent) awaited_.erase(id);
+  if (!machine || machine->probedAt == probe.at) awaited_.erase(id);
   if (!machine) return;
   const bool reached = result.outcome == ProbeOutcome::answered &&
                        (result.response->status == 200 || result.response->status == 409);
   if (fleet_.inUnreachableZone(*machine)) adaptToUnreachableZone(reached);
-  if (reached) return onAnswer(*machine, sent, *result.response);
-  if (result.outcome != ProbeOutcome::answered) onUnanswered(*machine, sent, result);
+  if (reached) return onAnswer(*machine, probe, *result.response);
+  if (result.outcome != ProbeOutcome::answered) onUnanswered(*machine, probe.at, result);
 }
 
 void WorkerProber::adaptToUnreachableZone(bool reached) {
@@ -135,14 +138,14 @@
            "sent_ms_ago", context_.runtime.now() - sent, "failed_probes", machine.failedProbes);
 }
 
-void WorkerProber::onAnswer(Machine& machine, Instant sent, const Response& response) {
+void WorkerProber::onAnswer(Machine& machine, const SentProbe& sent, const Response& response) {
   const Instant now = context_.runtime.now();
   if (!applyDirectAnswer(fleet_, machine, response, now)) return;
-  logDebug("probe answered", "machine", machine.id, "after_ms", now - sent);
+  logDebug("probe answered", "machine", machine.id, "after_ms", now - sent.at);
   onReport(machine);
   context_.planInvalidated = true;
   context_.scheduleCycle();
-  if (refusedForItsSession(machine, context_.token)) probe(machine);
+  if (refusedForItsSession(machine, sent.workerEpoch, context_.token)) probe(machine);
 }
 
 }  // namespace kestrelhoist
--- a/src/fleet/worker_prober.hpp
+++ b/src/fleet/worker_prober.hpp
@@ -19,10 +19,10 @@
 /// unless the way to it is known to work, nor if a report has come since.
 bool isFailedProbe(const Machine& machine, Instant sent, ProbeOutcome outcome);
 
-/// Whether the worker has not taken up this leader's token although it was shown to it: it refuses
-/// direct requests that name another session than its own. The same request with the session that
-/// it reported shows it the token, without which the machine gets no work.
-bool refusedForItsSession(const Machine& machine, FencingToken token);
+/// Whether the worker refused a request since that named an earlier session than its own, and so
+/// has not taken up this leader's token. The same request with the session that it reported shows
+/// it the token, without which the machine gets no work.
+bool refusedForItsSession(const Machine& machine, WorkerEpoch requested, FencingToken token);
 
 /// Probes workers while this controller leads. Only facts are taken from the answers; commands go
 /// with the next heartbeat.
@@ -47,9 +47,13 @@
   std::vector<Machine*> machinesToProbe(Instant now);
   void probe(Machine& machine);
   WorkerEpoch probedEpoch(const Machine& machine) const;
-  void onResult(const MachineId& id, Instant sent, const ProbeResult& result);
+  struct SentProbe {
+    Instant at;
+    WorkerEpoch workerEpoch;  ///< the session that it named
+  };
+  void onResult(const MachineId& id, const SentProbe& probe, const ProbeResult& result);
   void onUnanswered(Machine& machine, Instant sent, const ProbeResult& result) const;
-  void onAnswer(Machine& machine, Instant sent, const Response& response);
+  void onAnswer(Machine& machine, const SentProbe& sent, const Response& response);
   void adaptToUnreachableZone(bool reached);
 
   static constexpr std::size_t kFewestZoneProbes = 2;
