--- a/src/fleet/lease_estimate.hpp
+++ b/src/fleet/lease_estimate.hpp
@@ -10,17 +10,17 @@
 
 /// What leases of a deployment's workers depend on.
 struct LeaseTerms {
-  Duration lease{};        ///< of a worker
-  Duration reportEvery{};  ///< the workers' heartbeat interval
-  std::size_t controllers{};
+  Duration lease{};           ///< of a worker
+  Duration reportEvery{};     ///< the workers' heartbeat interval
+  std::size_t controllers{};  ///< that a worker tries in turn
 };
 
 /// A heartbeat as it reached the leader.
 struct HeartbeatArrival {
-  WorkerEpoch workerEpoch;
-  ReportSequence sequence;
-  MemberId receivedBy;  ///< the controller to which the worker sent it
-  Instant at;
+  WorkerEpoch workerEpoch;  ///< the session in which the worker sent it
+  ReportSequence sequence;  ///< its place among the worker's messages of that session
+  MemberId receivedBy;      ///< the controller to which the worker sent it
+  Instant at;               ///< when it reached the leader
 };
 
 /// The lease of one worker, as far as a leader can know it.
