--- a/src/app/controller_heartbeats.cpp
+++ b/src/app/controller_heartbeats.cpp
@@ -3,6 +3,7 @@
 
 #include "app/controller.hpp"
 #include "app/controller_constants.hpp"
+#include "config/worker_timing.hpp"
 
 namespace kestrelhoist {
 namespace {
@@ -103,8 +104,9 @@
   // A worker that has just come from a failover cycle has spent most of its lease, so it is
   // answered here first (16 of 24 replicas were left when it was redirected again at once).
   const RedirectCandidate worker = redirectCandidate(report);
-  bool fresh = worker.sinceAcknowledged &&
-               *worker.sinceAcknowledged < platform_.reportEvery * 5 / 4 + Duration{1500};
+  bool fresh =
+      worker.sinceAcknowledged &&
+      *worker.sinceAcknowledged < longestHeartbeatInterval(platform_.reportEvery) + Duration{1500};
   v.mayRedirect = canary_.mayRedirect(*v.unreachableLeader, worker, v.now) &&
                   (fresh || worker.idle || !mayRenewLocally(v));
 }
--- a/src/app/controller_leadership.cpp
+++ b/src/app/controller_leadership.cpp
@@ -5,6 +5,7 @@
 #include "app/controller.hpp"
 #include "app/controller_constants.hpp"
 #include "base/log.hpp"
+#include "config/worker_timing.hpp"
 
 namespace kestrelhoist {
 namespace {
@@ -50,7 +51,7 @@
 // started does not know yet whether it is cut off.
 Duration Controller::candidacyDelay() const {
   Duration sinceHeartbeat = runtime_.now() - lastWorker_;
-  if (sinceHeartbeat < platform_.reportEvery * 5 / 4 + Duration{1000}) return Duration{0};
+  if (sinceHeartbeat < heartbeatDueAfter(platform_.reportEvery)) return Duration{0};
   return lastWorker_ < started_ ? Duration{400} : Duration{1500};
 }
 
--- a/src/config/worker_timing.hpp
+++ b/src/config/worker_timing.hpp
@@ -14,4 +14,13 @@
 inline constexpr Duration kWorkerRetryAfterLostAnswer =
     kWorkerAnswerTimeout + kWorkerNextControllerDelay;
 
+/// Workers report every `reportEvery`, give or take a quarter.
+constexpr Duration longestHeartbeatInterval(Duration reportEvery) { return reportEvery * 5 / 4; }
+/// How much later than that a heartbeat may be before it counts as overdue.
+inline constexpr Duration kHeartbeatLateMargin{1000};
+/// After how long without a heartbeat the next one is overdue.
+constexpr Duration heartbeatDueAfter(Duration reportEvery) {
+  return longestHeartbeatInterval(reportEvery) + kHeartbeatLateMargin;
+}
+
 }  // namespace kestrelhoist
--- a/src/connectivity/redirect_canary.cpp
+++ b/src/connectivity/redirect_canary.cpp
@@ -19,7 +19,8 @@
     : failoverCycle_(failoverCycle),
       lease_(lease),
       reportEvery_(reportEvery),
-      leaseOutlastsCycle_(failoverCycle + reportEvery * 5 / 4 + kScheduleSlack < lease) {}
+      leaseOutlastsCycle_(failoverCycle + longestHeartbeatInterval(reportEvery) + kScheduleSlack <
+                          lease) {}
 
 // Between an answer and the next heartbeat pass at least three quarters of the interval.
 Duration RedirectCanary::slowestAnswer(const RedirectCandidate& worker) const {
--- a/src/connectivity/worker_transport.cpp
+++ b/src/connectivity/worker_transport.cpp
@@ -38,7 +38,7 @@
     : runtime_(runtime),
       http_(http),
       peerMembership_(peers),
-      reporters_(reportEvery * 5 / 4 + kProbePatience) {}
+      reporters_(longestHeartbeatInterval(reportEvery) + kProbePatience) {}
 
 const char* toString(ProbeOutcome outcome) {
   switch (outcome) {
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -10,7 +10,6 @@
 namespace kestrelhoist {
 namespace {
 constexpr Duration kReleasedMemory{15 * 60 * 1000};
-constexpr Duration kLateMargin{1000};
 // Until a peer that ended has refused a connection, or is back.
 constexpr Duration kEndedPeersNoticed{2000};
 // A heartbeat that a peer forwards is received by the leader within this time, or not at all.
@@ -24,7 +23,7 @@
 // Whether the worker may be waiting for an answer that is lost: its next heartbeat is not due.
 bool mayStillRetry(const WorkerSession& session, Instant now) {
   return session.lastHeartbeatAt &&
-         now - *session.lastHeartbeatAt <= kWorkerRetryAfterLostAnswer + kLateMargin;
+         now - *session.lastHeartbeatAt <= kWorkerRetryAfterLostAnswer + kHeartbeatLateMargin;
 }
 }  // namespace
 
@@ -228,7 +227,7 @@
   return record && !record->draining;
 }
 
-Duration Fleet::reportDue() const { return platform_.reportEvery * 5 / 4 + kLateMargin; }
+Duration Fleet::reportDue() const { return heartbeatDueAfter(platform_.reportEvery); }
 
 bool Fleet::isOnTime(const Machine& machine, Instant now) const {
   return machine.hasReported() && now - machine.session.lastReportAt <= reportDue();
@@ -367,7 +366,7 @@
 // silent before each of them is overdue.
 Duration Fleet::zoneSilence(int machines) const {
   constexpr int kReports = 4;
-  return std::min(reportDue(), kReports * platform_.reportEvery / machines + kLateMargin);
+  return std::min(reportDue(), kReports * platform_.reportEvery / machines + kHeartbeatLateMargin);
 }
 
 // For a machine that this leader has no report of, the acknowledgement of a peer counts, else what
--- a/src/fleet/lease_estimate.cpp
+++ b/src/fleet/lease_estimate.cpp
@@ -14,8 +14,6 @@
 constexpr Duration kOutlivedAfter{1000};
 // A lease is at risk if it ends before this many lost answers from now.
 constexpr int kTriesLeftAtRisk = 2;
-// As Fleet::reportDue() allows a heartbeat.
-constexpr Duration kOverdueSlack{1000};
 
 }  // namespace
 
@@ -58,7 +56,8 @@
 void LeaseEstimate::beginFromEarlierAcknowledgement(Instant heardAt, const LeaseTerms& terms) {
   if (!earlierAcknowledgement_) return;
   lostAnswer_ = heardAt - *earlierAcknowledgement_ >= kWorkerRetryAfterLostAnswer - kTransitSlack;
-  renewedAt_ = *earlierAcknowledgement_ - (lostAnswer_ ? terms.reportEvery * 5 / 4 : Duration{0});
+  renewedAt_ = *earlierAcknowledgement_ -
+               (lostAnswer_ ? longestHeartbeatInterval(terms.reportEvery) : Duration{0});
 }
 
 // What the next heartbeat tells of the answer to the newest one.
@@ -109,7 +108,7 @@
 }
 
 bool LeaseEstimate::isOverdue(const LeaseTerms& terms, Instant now) const {
-  return newest_ && now - newest_->at > terms.reportEvery * 5 / 4 + kOverdueSlack;
+  return newest_ && now - newest_->at > heartbeatDueAfter(terms.reportEvery);
 }
 
 }  // namespace kestrelhoist
