Probers: one function builds a direct command, the leader reacts to both probers in one place

The request was built alike in CommandDispatcher, WorkerProber and LeaseEndProber, and both probers invalidated the plan after each newer report. LeaseEndProber no longer schedules a timer of 0 ms only to forget a machine after its last probe.

--- a/src/app/leader.cpp
+++ b/src/app/leader.cpp
@@ -93,6 +93,8 @@
   prober_.onReport = leaseEndProber_.onReport = [this](Machine& machine) {
     outcomes_.noteOutcomes(machine);
     repeater_.expectConfirmation(machine.id, context_.runtime.now());
+    context_.planInvalidated = true;
+    scheduleCycle();
   };
 }
 
--- a/src/fleet/command_dispatcher.cpp
+++ b/src/fleet/command_dispatcher.cpp
@@ -38,8 +38,7 @@
 void CommandDispatcher::send(const MachineId& id, const WorkerSession& session,
                              std::vector<WorkerCommand> commands) {
   const WorkerEpoch workerEpoch = session.lastReport->workerEpoch;
-  Request request{"POST", "/commands",
-                  encodeBody(commandRequestToJson(context_.token, workerEpoch, commands))};
+  Request request = commandRequest(context_.token, workerEpoch, commands);
   logDebug("commands sent", "machine", id, "worker_epoch", workerEpoch, "commands",
            commands.size());
   context_.workers.send(
--- a/src/fleet/heartbeat_messages.cpp
+++ b/src/fleet/heartbeat_messages.cpp
@@ -166,4 +166,9 @@
           {key::kCommands, commandList(commands)}};
 }
 
+Request commandRequest(FencingToken token, WorkerEpoch workerEpoch,
+                       const std::vector<WorkerCommand>& commands) {
+  return {"POST", "/commands", encodeBody(commandRequestToJson(token, workerEpoch, commands))};
+}
+
 }  // namespace kestrelhoist
--- a/src/fleet/heartbeat_messages.hpp
+++ b/src/fleet/heartbeat_messages.hpp
@@ -56,5 +56,8 @@
 /// A direct command request, valid for one worker epoch.
 Json commandRequestToJson(FencingToken token, WorkerEpoch workerEpoch,
                           const std::vector<WorkerCommand>& commands);
+/// The same as a request to the worker. Without commands it only asks for the worker's report.
+Request commandRequest(FencingToken token, WorkerEpoch workerEpoch,
+                       const std::vector<WorkerCommand>& commands = {});
 
 }  // namespace kestrelhoist
--- a/src/fleet/lease_end_prober.cpp
+++ b/src/fleet/lease_end_prober.cpp
@@ -88,28 +88,25 @@
 }
 
 void LeaseEndProber::probeNext(const Ending& ending, std::size_t probes) {
-  if (probes == kProbesAfterEnd.size() || !isOpen(ending)) {
-    scheduled_.erase(ending.machine);
-    return;
-  }
-  if (probesLeft_ > 0) {
+  const std::size_t next = probes + 1;
+  const bool open = isOpen(ending);
+  if (open && probesLeft_ > 0) {
     --probesLeft_;
     probe(ending);
   }
-  const bool isLast = probes + 1 == kProbesAfterEnd.size();
-  const Duration pause =
-      isLast ? Duration{0} : kProbesAfterEnd.at(probes + 1) - kProbesAfterEnd.at(probes);
-  context_.runtime.after(
-      pause, context_.whileLeading([this, ending, probes] { probeNext(ending, probes + 1); }));
+  if (!open || next == kProbesAfterEnd.size()) {
+    scheduled_.erase(ending.machine);
+    return;
+  }
+  context_.runtime.after(kProbesAfterEnd.at(next) - kProbesAfterEnd.at(probes),
+                         context_.whileLeading([this, ending, next] { probeNext(ending, next); }));
 }
 
 // A direct command without content, as WorkerProber sends it.
 void LeaseEndProber::probe(const Ending& ending) {
   const Machine& machine = *fleet_.find(ending.machine);
-  Request request{"POST", "/commands",
-                  encodeBody(commandRequestToJson(context_.token, ending.workerEpoch, {}))};
   context_.workers.send(
-      machine.address, std::move(request), kWorkerAnswerTimeout,
+      machine.address, commandRequest(context_.token, ending.workerEpoch), kWorkerAnswerTimeout,
       context_.whileLeading([this, ending](const std::optional<Response>& response) {
         onResponse(ending, response);
       }));
@@ -131,8 +128,6 @@
   if (context_.onLeaseEndProbe) context_.onLeaseEndProbe(toString(answer));
   if (!isNewer) return;
   onReport(*machine);
-  context_.planInvalidated = true;
-  context_.scheduleCycle();
   if (refusedForItsSession(*machine, ending.workerEpoch, context_.token)) {
     probe({ending.machine, machine->session.lastReport->workerEpoch, ending.end});
   }
--- a/src/fleet/worker_prober.cpp
+++ b/src/fleet/worker_prober.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/log.hpp"
+#include "config/worker_timing.hpp"
 #include "fleet/direct_answer.hpp"
 
 namespace kestrelhoist {
@@ -27,7 +28,7 @@
 // come seldom it asks for them: the round is over when each machine has reported or was asked in
 // vain.
 bool WorkerProber::initialRoundOver() const {
-  const Duration round = context_.platform.reportEvery * 5 / 4 + Duration{500};
+  const Duration round = longestHeartbeatInterval(context_.platform.reportEvery) + Duration{500};
   if (context_.runtime.now() - context_.electedAt >= round) return true;
   return probedAll_ && probeQueue_.empty() && awaited_.empty();
 }
@@ -93,7 +94,7 @@
   logDebug("probe sent", "machine", machine.id, "silent_ms",
            machine.hasReported() ? now - machine.session.lastReportAt : now - context_.electedAt);
   const WorkerEpoch epoch = probedEpoch(machine);
-  Request request{"POST", "/commands", encodeBody(commandRequestToJson(context_.token, epoch, {}))};
+  Request request = commandRequest(context_.token, epoch);
   context_.workers.probe(
       machine.address, machine.zone, std::move(request),
       context_.whileLeading([this, id = machine.id, sent = now, epoch](const ProbeResult& result) {
@@ -143,8 +144,6 @@
   if (!applyDirectAnswer(fleet_, machine, response, now)) return;
   logDebug("probe answered", "machine", machine.id, "after_ms", now - sent.at);
   onReport(machine);
-  context_.planInvalidated = true;
-  context_.scheduleCycle();
   if (refusedForItsSession(machine, sent.workerEpoch, context_.token)) probe(machine);
 }
 
