Simulated worker: a new session is reported at once, as PROTOCOL says

PROTOCOL, "Workers -> controller nodes": a worker also reports whenever its session changes, half a second after its last report at the earliest. The stand-in began a new session without that, so that it was known with the next regular heartbeat only, up to 1.25 intervals or 5 s later.

The old worker stays as the harsher case: `latesessions 1`. All other worlds have the corrected worker.

--- a/simulator/model/simulated_region.hpp
+++ b/simulator/model/simulated_region.hpp
@@ -22,8 +22,9 @@
   double reportS = 1, leaseS = 11;
   double listLagS = 3;
   double bootFail = 0;
-  double failedAfterS = 0;  ///< a machine that has died is listed as failed then; 0: never
-  double soon = 0;          ///< share of machines that are up within 0.2 to 2 s
+  double failedAfterS = 0;    ///< a machine that has died is listed as failed then; 0: never
+  double soon = 0;            ///< share of machines that are up within 0.2 to 2 s
+  bool lateSessions = false;  ///< a new session is reported with the next regular report only
 };
 
 /// What one task takes; the rest is known to its TaskHost.
--- a/simulator/model/worker.cpp
+++ b/simulator/model/worker.cpp
@@ -166,6 +166,7 @@
   ++tenure_;
   tick_ = 0;
   lastAnsweredSent_ = region_.clock.now();
+  if (!region_.settings.lateSessions) changed();
 }
 
 Response Worker::onCommands(const Request& q) {
--- a/tests/scenario_faults.cpp
+++ b/tests/scenario_faults.cpp
@@ -154,6 +154,8 @@
       settings_.flows = v > 0;
     else if (key == "cache")
       settings_.cache = v > 0;
+    else if (key == "latesessions")
+      settings_.lateSessions = v > 0;
     else if (key == "balancer")
       settings_.balancer = v > 0;
     else
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -323,6 +323,7 @@
   r.bootFail = settings.bootFail;
   r.soon = settings.soon;
   r.failedAfterS = settings.failedAfterS;
+  r.lateSessions = settings.lateSessions;
   return r;
 }
 
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -41,10 +41,11 @@
   bool old = false;
   bool flows = true;
   int maxConnections = 600;
-  bool cache = false;       ///< machines keep the images that they fetched
-  bool balancer = false;    ///< users reach the nodes as PROTOCOL's load balancer lets them
-  bool members = false;     ///< with keys; users without one are served, too
-  bool dropAwaits = false;  ///< users leave `awaits` out: as for a program that does not heed it
+  bool cache = false;         ///< machines keep the images that they fetched
+  bool lateSessions = false;  ///< workers report a new session with their next regular report only
+  bool balancer = false;      ///< users reach the nodes as PROTOCOL's load balancer lets them
+  bool members = false;       ///< with keys; users without one are served, too
+  bool dropAwaits = false;    ///< users leave `awaits` out: as for a program that does not heed it
 };
 
 /// The operator's own key in worlds with members.
