Simulated worker: what changes while a report is under way is reported after it

PROTOCOL: at most one report in flight, and a worker reports whenever something changes, half a second after its last report at the earliest. The stand-in forgot a change that came while a report was in flight, and one that the commands in its answer made: the next report came a whole interval later.

--- a/simulator/model/simulated_region.hpp
+++ b/simulator/model/simulated_region.hpp
@@ -25,6 +25,7 @@
   double failedAfterS = 0;    ///< a machine that has died is listed as failed then; 0: never
   double soon = 0;            ///< share of machines that are up within 0.2 to 2 s
   bool lateSessions = false;  ///< a new session is reported with the next regular report only
+  bool lateChanges = false;   ///< so is what changes while a report is under way
 };
 
 /// What one task takes; the rest is known to its TaskHost.
@@ -84,6 +85,7 @@
   void beat();
   void schedule(std::int64_t ms);
   void changed();
+  void reportChange();
   void execute(const Json& orders);
   void launch(const std::string& name, std::uint64_t attempt);
   void described(std::uint64_t life, std::optional<TaskNeeds> needs);
@@ -100,6 +102,7 @@
   std::int64_t lastAnsweredSent_ = 0, lastSent_ = -1000000, hangUntil_ = 0, noticeEnds_ = 0;
   std::size_t node_ = 0;
   bool inFlight_ = false;
+  bool hasUnreportedChange_ = false;  ///< since the newest report was sent
   std::uint64_t timer_ = 0, lives_ = 0;
   std::set<std::string> cached_;
 };
--- a/simulator/model/worker.cpp
+++ b/simulator/model/worker.cpp
@@ -90,13 +90,20 @@
 }
 
 void Worker::changed() {
-  if (inFlight_ || gone) return;
+  if (gone) return;
+  hasUnreportedChange_ = true;
+  if (!inFlight_) reportChange();
+}
+
+// Never more often than every half second.
+void Worker::reportChange() {
   schedule(std::max<std::int64_t>(1, lastSent_ + 500 - region_.clock.now()));
 }
 
 void Worker::beat() {
   if (gone || inFlight_) return;
   inFlight_ = true;
+  hasUnreportedChange_ = false;
   auto sentAt = lastSent_ = region_.clock.now();
   auto session = tenure_;
   auto next = [this](std::int64_t delay) { schedule(delay); };
@@ -129,16 +136,18 @@
             node_ = to;
             return next(200);
           }
+          bool higher = false;
           if (region_.clock.now() - sentAt <= 4000 && session == tenure_ && body) {
             auto token = countField(*body, "baton");
             if (token && *token >= token_) {
-              bool higher = *token > token_;
+              higher = *token > token_;
               token_ = *token;
               lastAnsweredSent_ = sentAt;
               execute(body->at("orders"));
-              if (higher) return next(500);
             }
           }
+          if (hasUnreportedChange_ && !region_.settings.lateChanges) return reportChange();
+          if (higher) return next(500);
           double jitter = 0.75 + 0.5 * std::uniform_real_distribution<>(0, 1)(region_.random);
           next(millis(region_.settings.reportS * jitter));
         });
--- a/tests/scenario_faults.cpp
+++ b/tests/scenario_faults.cpp
@@ -156,6 +156,8 @@
       settings_.cache = v > 0;
     else if (key == "latesessions")
       settings_.lateSessions = v > 0;
+    else if (key == "latechanges")
+      settings_.lateChanges = v > 0;
     else if (key == "balancer")
       settings_.balancer = v > 0;
     else
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -324,6 +324,7 @@
   r.soon = settings.soon;
   r.failedAfterS = settings.failedAfterS;
   r.lateSessions = settings.lateSessions;
+  r.lateChanges = settings.lateChanges;
   return r;
 }
 
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -43,6 +43,7 @@
   int maxConnections = 600;
   bool cache = false;         ///< machines keep the images that they fetched
   bool lateSessions = false;  ///< workers report a new session with their next regular report only
+  bool lateChanges = false;   ///< so do they what changes while a report is under way
   bool balancer = false;      ///< users reach the nodes as PROTOCOL's load balancer lets them
   bool members = false;       ///< with keys; users without one are served, too
   bool dropAwaits = false;    ///< users leave `awaits` out: as for a program that does not heed it
