Cloud client: a page of the machine list is asked for once more if its answer is lost

Cause: a new leader learns the machines' addresses from the cloud's list, and waited 4 s for a lost answer to it. Now a page is asked for again after 0.5 s; it is a read, and counts against the cloud's rate.

--- a/src/cloud/client.cpp
+++ b/src/cloud/client.cpp
@@ -1,10 +1,12 @@
 #include "cloud/client.hpp"
 
+#include "base/hedged_request.hpp"
 #include "base/log.hpp"
 
 namespace kestrelhoist {
 namespace {
 constexpr Duration kTimeout{4000};
+constexpr Duration kRepeatPageAfter{500};
 constexpr int kPage = 500;  // the most that the cloud allows
 
 std::optional<ListedMachine> listedFrom(const Json& v) {
@@ -78,32 +80,43 @@
       [done = std::move(done)](const std::optional<Response>& r) { done(r && r->status == 200); });
 }
 
-void CloudClient::list(std::function<void(std::optional<std::vector<ListedMachine>>)> done) {
-  listPage("", {}, std::move(done));
-}
+void CloudClient::list(OnList done) { listPage("", {}, std::move(done)); }
 
+// A read may be carried out twice: a lost answer would hold up a new leader, which learns the
+// addresses of the machines here.
 void CloudClient::listPage(const std::string& since, std::vector<ListedMachine> sofar,
-                           std::function<void(std::optional<std::vector<ListedMachine>>)> done) {
+                           OnList done) {
   std::string path = "/hosts?page=" + std::to_string(kPage);
   if (!since.empty()) path += "&since=" + since;
-  http_.send(address_, {"GET", path, ""}, kTimeout,
-             [this, sofar = std::move(sofar),
-              done = std::move(done)](const std::optional<Response>& r) mutable {
-               auto body = r && r->status == 200 ? decodeBody(r->body) : std::nullopt;
-               const Json* hosts = body ? field(*body, "hosts") : nullptr;
-               if (!hosts || !hosts->is_array()) return done(std::nullopt);
-               for (const auto& h : *hosts) {
-                 auto m = listedFrom(h);
-                 if (!m) return done(std::nullopt);
-                 sofar.push_back(std::move(*m));
-               }
-               if (boolField(*body, "truncated").value_or(false) && !sofar.empty()) {
-                 std::string last = sofar.back().id.value;
-                 budget_.take(runtime_.now(), 1);
-                 return listPage(last, std::move(sofar), std::move(done));
-               }
-               done(std::move(sofar));
-             });
+  using Answer = std::optional<Response>;
+  auto request = std::make_shared<HedgedRequest<Answer>>(
+      runtime_,
+      [this, path](Duration timeout, OnReply onReply) {
+        http_.send(address_, {"GET", path, ""}, timeout, std::move(onReply));
+      },
+      [](const Answer& answer) { return !answer; },
+      [this, sofar = std::move(sofar), done = std::move(done)](Instant, const Answer& answer) {
+        onPage(answer, sofar, done);
+      });
+  request->start({kRepeatPageAfter, kTimeout}, [this] { budget_.charge(runtime_.now(), 1); });
+}
+
+void CloudClient::onPage(const std::optional<Response>& answer, std::vector<ListedMachine> sofar,
+                         const OnList& done) {
+  auto body = answer && answer->status == 200 ? decodeBody(answer->body) : std::nullopt;
+  const Json* hosts = body ? field(*body, "hosts") : nullptr;
+  if (!hosts || !hosts->is_array()) return done(std::nullopt);
+  for (const auto& host : *hosts) {
+    auto machine = listedFrom(host);
+    if (!machine) return done(std::nullopt);
+    sofar.push_back(std::move(*machine));
+  }
+  if (boolField(*body, "truncated").value_or(false) && !sofar.empty()) {
+    std::string last = sofar.back().id.value;
+    budget_.take(runtime_.now(), 1);
+    return listPage(last, std::move(sofar), done);
+  }
+  done(std::move(sofar));
 }
 
 }  // namespace kestrelhoist
--- a/src/cloud/client.hpp
+++ b/src/cloud/client.hpp
@@ -34,11 +34,14 @@
   void requestMachines(const RentalRecord& rental, std::function<void(RentalResult)> done);
   /// True: the machines and all that was on them are gone.
   void release(const std::vector<MachineId>& machines, std::function<void(bool)> done);
-  void list(std::function<void(std::optional<std::vector<ListedMachine>>)> done);
+  /// Receives the whole list; empty if the cloud gave none.
+  using OnList = std::function<void(std::optional<std::vector<ListedMachine>>)>;
+  void list(OnList done);
 
  private:
-  void listPage(const std::string& since, std::vector<ListedMachine> sofar,
-                std::function<void(std::optional<std::vector<ListedMachine>>)> done);
+  void listPage(const std::string& since, std::vector<ListedMachine> sofar, OnList done);
+  void onPage(const std::optional<Response>& answer, std::vector<ListedMachine> sofar,
+              const OnList& done);
   Runtime& runtime_;
   HttpClient& http_;
   std::string address_;
