Initial round: a new leader asks for the reports that it waits for, at every heartbeat interval

What callers saw: after a change of leader nothing was placed for 1.76 s where workers report every second, also if all of them had been heard before; replicas whose machine had lost its lease meanwhile were missing that much longer, and up to 2.75 s longer on a machine that was first asked when overdue.

Cause: only where reports come 3 s apart or more the new leader asked for them, and ended the round when all had answered.

Change: the round has a class of its own, WorkerProber keeps the probes. The repeated questions are no evidence against a machine.

--- a/src/app/leader.cpp
+++ b/src/app/leader.cpp
@@ -37,10 +37,11 @@
       dispatcher_(context_, fleet_),
       repeater_([this](const MachineId& machine) { return dispatcher_.sendCommands(machine); }),
       prober_(context_, fleet_),
+      initialRound_(context_, fleet_, prober_),
       leaseEndProber_(context_, fleet_),
       outcomes_(context_, fleet_),
       forecasts_{{}, std::mt19937_64(context_.token.value)},
-      machineList_(context_, fleet_, prober_),
+      machineList_(context_, fleet_, initialRound_),
       taskLoop_(context_, fleet_, dispatcher_, outcomes_),
       planning_(context_, fleet_, dispatcher_, outcomes_, taskLoop_, planner),
       terminations_(context_, fleet_, outcomes_),
@@ -136,7 +137,7 @@
 void Leader::onTimer() {
   context_.runtime.after(kTick, context_.whileLeading([this] { onTimer(); }));
   Instant now = context_.runtime.now();
-  if (!context_.initialRoundOver && prober_.initialRoundOver()) {
+  if (!context_.initialRoundOver && initialRound_.isOver()) {
     context_.initialRoundOver = true;
     forecast_.load();
     logInfo("initial heartbeat round complete", "machines", fleet_.machines().size());
--- a/src/app/leader.hpp
+++ b/src/app/leader.hpp
@@ -66,6 +66,7 @@
   CommandDispatcher dispatcher_;
   CommandRepeater repeater_;
   WorkerProber prober_;
+  InitialRound initialRound_;
   LeaseEndProber leaseEndProber_;
   ConfirmedOutcomes outcomes_;
   DemandForecasts forecasts_;
--- a/src/cloud/machine_list_loop.cpp
+++ b/src/cloud/machine_list_loop.cpp
@@ -54,7 +54,7 @@
       machines.emplace_back(l.id, std::move(m));
     }
     fleet_.onList(machines, now, context_.platform.listLag);
-    prober_.probeAll();
+    initialRound_.probeUnheard();
   }));
 }
 
--- a/src/cloud/machine_list_loop.hpp
+++ b/src/cloud/machine_list_loop.hpp
@@ -3,14 +3,14 @@
 #pragma once
 
 #include "cloud/client.hpp"
-#include "fleet/worker_prober.hpp"
+#include "fleet/initial_round.hpp"
 
 namespace kestrelhoist {
 
 class MachineListLoop : public ControlLoop {
  public:
-  MachineListLoop(LeaderContext& context, Fleet& fleet, WorkerProber& prober)
-      : context_(context), fleet_(fleet), prober_(prober) {}
+  MachineListLoop(LeaderContext& context, Fleet& fleet, InitialRound& initialRound)
+      : context_(context), fleet_(fleet), initialRound_(initialRound) {}
 
   LoopStep next() override { return LoopStep::idle(); }
   void onTimer() override;
@@ -21,7 +21,7 @@
 
   LeaderContext& context_;
   Fleet& fleet_;
-  WorkerProber& prober_;
+  InitialRound& initialRound_;
   bool asked_ = false;  ///< the types
   Instant nextList_{};
   bool listing_ = false;
--- a/src/fleet/worker_prober.cpp
+++ b/src/fleet/worker_prober.cpp
@@ -8,6 +8,12 @@
 #include "fleet/direct_answer.hpp"
 
 namespace kestrelhoist {
+namespace {
+
+// Whether a worker answered a direct request with its report.
+bool isReport(const Response& response) { return response.status == 200 || response.status == 409; }
+
+}  // namespace
 
 // Where the way is not known to work this controller, or the peer that it asked through, may be the
 // one that is cut off.
@@ -24,39 +30,11 @@
   return report.workerEpoch > requested && report.token < token;
 }
 
-// DESIGN: a new leader waits one full report round before placing or giving back. Where reports
-// come seldom it asks for them: the round is over when each machine has reported or was asked in
-// vain.
-bool WorkerProber::initialRoundOver() const {
-  const Duration round = longestHeartbeatInterval(context_.platform.reportEvery) + Duration{500};
-  if (context_.runtime.now() - context_.electedAt >= round) return true;
-  return probedAll_ && probeQueue_.empty() && awaited_.empty();
-}
-
-// With the first list, which tells the addresses of machines that this leader has not heard.
-void WorkerProber::probeAll() {
-  constexpr Duration kWorthProbing{3000};
-  if (probedAll_ || context_.initialRoundOver || context_.platform.reportEvery < kWorthProbing)
-    return;
-  probedAll_ = true;
-  for (const auto& [id, machine] : fleet_.machines()) {
-    if (!machine.hasReported() && !machine.address.empty() && machine.listed == Listed::running)
-      probeQueue_.push_back(id);
-  }
-  logInfo("probing workers for reports", "machines", probeQueue_.size());
-  probeNextBatch();
-}
-
-void WorkerProber::probeNextBatch() {
-  constexpr int kBatch = 24;
-  constexpr Duration kPause{25};
-  for (int i = 0; i < kBatch && !probeQueue_.empty(); ++i) {
-    Machine* machine = fleet_.find(probeQueue_.front());
-    probeQueue_.pop_front();
-    if (machine && !machine->hasReported()) probe(*machine);
-  }
-  if (probeQueue_.empty()) return;
-  context_.runtime.after(kPause, context_.whileLeading([this] { probeNextBatch(); }));
+bool WorkerProber::awaitsUnheard() const {
+  return std::any_of(awaited_.begin(), awaited_.end(), [this](const MachineId& id) {
+    const Machine* machine = fleet_.find(id);
+    return machine && !machine->hasReported();
+  });
 }
 
 // Machines that should have reported by now: dead, or on their way to another node.
@@ -102,6 +80,17 @@
       }));
 }
 
+void WorkerProber::ask(const Machine& machine) {
+  const SentProbe sent{context_.runtime.now(), probedEpoch(machine)};
+  context_.workers.send(
+      machine.address, commandRequest(context_.token, sent.workerEpoch), kWorkerAnswerTimeout,
+      context_.whileLeading([this, id = machine.id, sent](const std::optional<Response>& response) {
+        Machine* asked = fleet_.find(id);
+        if (!asked || !response || !isReport(*response)) return;
+        if (applyAnswer(*asked, sent, *response)) ask(*asked);
+      }));
+}
+
 WorkerEpoch WorkerProber::probedEpoch(const Machine& machine) const {
   if (machine.hasReported()) return machine.session.lastReport->workerEpoch;
   WorkerEpoch epoch{1};
@@ -111,17 +100,18 @@
   return epoch;
 }
 
-void WorkerProber::onResult(const MachineId& id, const SentProbe& probe,
-                            const ProbeResult& result) {
+void WorkerProber::onResult(const MachineId& id, const SentProbe& sent, const ProbeResult& result) {
   Machine* machine = fleet_.find(id);
   // The result of an earlier probe may come after a newer one was sent.
-  if (!machine || machine->probedAt == probe.at) awaited_.erase(id);
+  if (!machine || machine->probedAt == sent.at) awaited_.erase(id);
   if (!machine) return;
-  const bool reached = result.outcome == ProbeOutcome::answered &&
-                       (result.response->status == 200 || result.response->status == 409);
+  const bool reached = result.outcome == ProbeOutcome::answered && isReport(*result.response);
   if (fleet_.inUnreachableZone(*machine)) adaptToUnreachableZone(reached);
-  if (reached) return onAnswer(*machine, probe, *result.response);
-  if (result.outcome != ProbeOutcome::answered) onUnanswered(*machine, probe.at, result);
+  if (reached) {
+    if (applyAnswer(*machine, sent, *result.response)) probe(*machine);
+    return;
+  }
+  if (result.outcome != ProbeOutcome::answered) onUnanswered(*machine, sent.at, result);
 }
 
 void WorkerProber::adaptToUnreachableZone(bool reached) {
@@ -139,12 +129,13 @@
            "sent_ms_ago", context_.runtime.now() - sent, "failed_probes", machine.failedProbes);
 }
 
-void WorkerProber::onAnswer(Machine& machine, const SentProbe& sent, const Response& response) {
+// Returns whether the worker has to be asked again, in the session that it reported.
+bool WorkerProber::applyAnswer(Machine& machine, const SentProbe& sent, const Response& response) {
   const Instant now = context_.runtime.now();
-  if (!applyDirectAnswer(fleet_, machine, response, now)) return;
+  if (!applyDirectAnswer(fleet_, machine, response, now)) return false;
   logDebug("probe answered", "machine", machine.id, "after_ms", now - sent.at);
   onReport(machine);
-  if (refusedForItsSession(machine, sent.workerEpoch, context_.token)) probe(machine);
+  return refusedForItsSession(machine, sent.workerEpoch, context_.token);
 }
 
 }  // namespace kestrelhoist
--- a/src/fleet/worker_prober.hpp
+++ b/src/fleet/worker_prober.hpp
@@ -4,7 +4,6 @@
 #pragma once
 
 #include <cstddef>
-#include <deque>
 #include <functional>
 #include <set>
 #include <vector>
@@ -32,28 +31,28 @@
   /// @param fleet The machines that are probed; outlives the prober.
   WorkerProber(LeaderContext& context, Fleet& fleet) : context_(context), fleet_(fleet) {}
 
-  /// Probes all machines that this leader has no report of, once there is a list of them.
-  void probeAll();
   /// Probes machines that should have reported by now.
   void probeOverdue();
-  /// Whether each worker had the time to report to this leader or was probed in vain.
-  bool initialRoundOver() const;
+  /// Probes this machine unless an answer of it is awaited.
+  void probe(Machine& machine);
+  /// Asks this machine for its report. No answer is no evidence against it.
+  void ask(const Machine& machine);
+  /// Whether the answer of a machine that this leader has no report of is awaited.
+  bool awaitsUnheard() const;
 
   /// Called after a newer report of a machine was applied: it may have proven an outcome.
   std::function<void(Machine&)> onReport;
 
  private:
-  void probeNextBatch();
   std::vector<Machine*> machinesToProbe(Instant now);
-  void probe(Machine& machine);
   WorkerEpoch probedEpoch(const Machine& machine) const;
   struct SentProbe {
     Instant at;
     WorkerEpoch workerEpoch;  ///< the session that it named
   };
-  void onResult(const MachineId& id, const SentProbe& probe, const ProbeResult& result);
+  void onResult(const MachineId& id, const SentProbe& sent, const ProbeResult& result);
   void onUnanswered(Machine& machine, Instant sent, const ProbeResult& result) const;
-  void onAnswer(Machine& machine, const SentProbe& sent, const Response& response);
+  bool applyAnswer(Machine& machine, const SentProbe& sent, const Response& response);
   void adaptToUnreachableZone(bool reached);
 
   static constexpr std::size_t kFewestZoneProbes = 2;
@@ -61,8 +60,6 @@
 
   LeaderContext& context_;
   Fleet& fleet_;
-  bool probedAll_ = false;  ///< instead of waiting for the initial round
-  std::deque<MachineId> probeQueue_;
   std::set<MachineId> awaited_;                            ///< answers that are not overdue yet
   std::size_t unreachableZoneProbes_ = kFewestZoneProbes;  ///< at a time, in unreachable zones
 };
