Lease log: a new leader begins with what all controllers know of workers' leases

What callers saw: replicas whose machine lost its lease shortly after a change of leader came back 2 to 5 s later, though the new leader led all the time and the machine answered direct requests.

Cause: LeaseEstimate ended with its leadership. The next leader began with the times of its peers' acknowledgements, though lost answers are acknowledged, too, and knew nothing of what only the leader before it had heard. So the end of a lease was not asked for, or at the wrong moment, and a worker that had sent its heartbeat to another controller counted as one that sends none, and got no work.

Change: each controller keeps what its heartbeats tell of leases (LeaseLog). The leader's status carries what it knows of up to 64 leases whose last answer may be lost; a new leader takes its own log and asks its peers for theirs (/mesh/leases, hedged). Where no renewal is known, the lease counts from before the oldest heartbeat that is known to be unanswered. An estimate still only tells when to ask.

--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -53,6 +53,7 @@
           }),
       workerTransport_(runtime, http, peerMembership_, platform.reportEvery),
       forwarder_(runtime, peerMembership_, platform.member),
+      leaseLog_(platform),
       zoneAcks_(platform, runtime.now()),
       store_(runtime, stateProxy_, platform.stateAddress,
              platform.stateRequestsPerS / static_cast<double>(platform.nodes())),
@@ -115,9 +116,11 @@
   peerMembership_.onAnswer = [this](const PeerStatus& s, Instant asked) {
     cancellationBarrier_.onPeerStatus(s.member, asked, s.newestCancellation, replica_.cursor());
     zoneAcks_.onPeerAnswer(s.member, asked, runtime_.now(), s.zoneAcks);
+    leaseLog_.adopt(s.uncertainLeases);
   };
   peerMembership_.onAnnouncement = [this](const PeerStatus& s) {
     if (s.zoneAcks) zoneAcks_.onPeerAnnouncement(runtime_.now(), *s.zoneAcks);
+    leaseLog_.adopt(s.uncertainLeases);
   };
   peerMembership_.onRefused = [this](const MemberId& peer) {
     zoneAcks_.onPeerRefused(peer, runtime_.now());
@@ -168,6 +171,7 @@
 void Controller::expireWorkers(Instant now) {
   expiredAt_ = now;
   ackLog_.expire(now);
+  leaseLog_.expire(now);
   workerTransport_.expire();
   std::erase_if(redirectedAt_, [&](const auto& e) { return now - e.second > kExpireEvery; });
 }
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -67,6 +67,8 @@
   void startLeader();
   /// Asks peers for the acknowledgement times of workers that this new leader has not heard from.
   void requestAckTimesFromPeers();
+  /// Asks peers for what they know of workers' leases.
+  void requestLeasesFromPeers();
   void stepDown(const std::string& why, bool dropLease, Duration backOff);
   void watchLeadership();
   void watchWorkers();
@@ -125,6 +127,7 @@
   WorkerTransport workerTransport_;
   HeartbeatForwarder forwarder_;
   HeartbeatAckLog ackLog_;
+  LeaseLog leaseLog_;
   ZoneAckLog zoneAcks_;
   StoreClient store_;
   CloudClient cloud_;
--- a/src/app/controller_constants.hpp
+++ b/src/app/controller_constants.hpp
@@ -17,4 +17,7 @@
 inline constexpr Duration kPeerPresence{2000};    ///< a peer with a status this recent is reachable
 inline constexpr Duration kForwardTimeout{1800};  ///< of requests forwarded to a peer
 
+/// Path at which a controller tells a new leader what it knows of workers' leases.
+inline constexpr const char* kLeasesPath = "/mesh/leases";
+
 }  // namespace kestrelhoist
--- a/src/app/controller_heartbeats.cpp
+++ b/src/app/controller_heartbeats.cpp
@@ -39,6 +39,7 @@
   lastWorker_ = runtime_.now();
   if (report.zone != platform_.zone) lastForeignWorker_ = lastWorker_;
   canary_.onReport(report.machine, lastWorker_);
+  leaseLog_.onHeartbeat(report, lastWorker_);
   workerTransport_.noteReport(report.address, report.zone, std::nullopt);
   return lastWorker_;
 }
--- a/src/app/controller_leadership.cpp
+++ b/src/app/controller_leadership.cpp
@@ -4,6 +4,7 @@
 
 #include "app/controller.hpp"
 #include "app/controller_constants.hpp"
+#include "base/hedged_request.hpp"
 #include "base/log.hpp"
 #include "config/worker_timing.hpp"
 
@@ -14,6 +15,7 @@
 // There is then no need to wait until they report elsewhere, which costs each worker part of its
 // lease.
 constexpr std::size_t kSeveralMachines = 3;
+constexpr HedgeTimes kLeasesRequest{Duration{300}, Duration{2000}};
 
 }  // namespace
 
@@ -125,6 +127,8 @@
   });
   for (const auto& [machine, at] : ackLog_.entries()) leader_->fleet().noteAckByPeer(machine, at);
   requestAckTimesFromPeers();
+  leader_->fleet().adoptLeases(leaseLog_.sightings(runtime_.now()));
+  requestLeasesFromPeers();
 }
 
 // For a worker that no controller answers any more, the last acknowledgement tells how long it has
@@ -145,6 +149,27 @@
   }
 }
 
+// The previous version answers 404: then only the acknowledgement times tell of leases.
+void Controller::requestLeasesFromPeers() {
+  using Answer = std::optional<Response>;
+  for (const auto& peer : platform_.peers) {
+    auto request = std::make_shared<HedgedRequest<Answer>>(
+        runtime_,
+        [this, member = peer.member](Duration timeout, OnReply done) {
+          peerMembership_.send(member, {"POST", kLeasesPath, encodeBody(Json::object())}, timeout,
+                               std::move(done));
+        },
+        [](const Answer& answer) { return !answer; },
+        [this, token = election_.token()](Instant, const Answer& answer) {
+          if (!leader_ || leader_->token() != token || !answer || answer->status != 200) return;
+          auto body = decodeBody(answer->body);
+          if (!body) return;
+          leader_->fleet().adoptLeases(leaseSightingsFrom(*body, runtime_.now()));
+        });
+    request->start(kLeasesRequest, nullptr);
+  }
+}
+
 void Controller::stepDown(const std::string& why, bool dropLease, Duration backOff) {
   logInfo("stepped down as leader", "token", election_.token(), "why", why);
   lastToken_ = std::max(lastToken_, election_.token());
--- a/src/app/controller_peer_api.cpp
+++ b/src/app/controller_peer_api.cpp
@@ -49,6 +49,9 @@
                     : jsonResponse(409, {{"error", "does not lead"}}));
   } else if (request.path == "/mesh/answered") {
     respond(jsonResponse(200, ackLog_.toJson(runtime_.now())));
+  } else if (request.path == kLeasesPath) {
+    const Instant now = runtime_.now();
+    respond(jsonResponse(200, toJson(leaseLog_.sightings(now), now)));
   } else if (auto state = below("/mesh/state")) {
     stateProxy_.serve(*state, respond);
   } else if (auto cloud = below("/mesh/cloud")) {
@@ -84,6 +87,7 @@
   if (watcher_.loaded()) s.newestCancellation = replica_.newestCancellation();
   s.zoneAcks = zoneAcks_.report(runtime_.now(), peerMayBeAlive());
   s.ready = watcher_.loaded() && jobs_.catalogue() != nullptr;
+  if (leader_) s.uncertainLeases = leader_->fleet().uncertainLeases();
   s.hasLostWorkers = leader_ && reportingMachines() > 0 &&
                      s.workersAge > platform_.reportEvery * 3 / 2 + Duration{500};
   return s;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -15,22 +15,27 @@
 // A heartbeat that a peer forwards is received by the leader within this time, or not at all.
 constexpr Duration kForwardedWithin{2000};
 
+constexpr std::size_t kMostUncertainLeases = 64;  // each status carries them
+
 // Whether the worker is in a session of which no heartbeat came here.
 bool beginsUnheard(const WorkerSession& session) {
   return session.lastHeartbeatAt && session.lastReport->workerEpoch > session.lastHeartbeatEpoch;
 }
 
-// Whether the worker may be waiting for an answer that is lost: its next heartbeat is not due.
-bool mayStillRetry(const WorkerSession& session, Instant now) {
-  return session.lastHeartbeatAt &&
-         now - *session.lastHeartbeatAt <= kWorkerRetryAfterLostAnswer + kHeartbeatLateMargin;
+// Whether the worker may be waiting for an answer that is lost: its next heartbeat is not due. The
+// newest one may have come to any controller, also before this leadership.
+bool mayStillRetry(const Machine& machine, Instant now) {
+  const auto sighting = machine.lease.sighting();
+  const auto newest = std::max(machine.session.lastHeartbeatAt,
+                               sighting ? std::optional(sighting->newest.at) : std::nullopt);
+  return newest && now - *newest <= kWorkerRetryAfterLostAnswer + kHeartbeatLateMargin;
 }
 }  // namespace
 
 Fleet::Fleet(const Platform& platform, const Replica& replica, FencingToken token, Instant now)
     : platform_(platform),
       replica_(replica),
-      leaseTerms_{platform.workerLease, platform.reportEvery, platform.nodes()},
+      leaseTerms_(leaseTermsOf(platform)),
       token_(token),
       leaderSince_(now),
       lastReportOfAny_(now),
@@ -64,7 +69,7 @@
   if (isHeartbeat) {
     machine.notReportingSince.reset();
   } else if (!machine.notReportingSince && (leaseEnded || beginsUnheard(machine.session)) &&
-             !mayStillRetry(machine.session, now)) {
+             !mayStillRetry(machine, now)) {
     machine.notReportingSince = now;
     logInfo("worker answers probes but sends no heartbeats", "machine", machine.id, "worker_epoch",
             report.workerEpoch);
@@ -294,6 +299,12 @@
   machine->lease.noteEarlierAcknowledgement(at);
 }
 
+void Fleet::adoptLeases(const LeaseSightings& sightings) {
+  for (const auto& [id, sighting] : sightings) {
+    if (Machine* machine = find(id)) machine->lease.adopt(sighting, leaseTerms_);
+  }
+}
+
 void Fleet::setZoneAckBounds(std::map<ZoneId, Instant> bounds, Instant now) {
   zoneAckBounds_ = std::move(bounds);
   std::erase_if(ackedBeforeLeadership_,
@@ -423,6 +434,7 @@
     }
   }
   lastSuspectedZones_ = suspectedZones(now);
+  updateUncertainLeases(now);
 }
 
 void Fleet::giveUp(Machine& machine, const TerminationVerdict& verdict) {
@@ -442,6 +454,24 @@
   return machine.hasReported() && (!record || record->rental.empty());
 }
 
+void Fleet::updateUncertainLeases(Instant now) {
+  std::vector<std::pair<Instant, MachineId>> uncertain;
+  for (const auto& [id, machine] : machines_) {
+    const auto end = earliestLeaseEnd(machine);
+    if (!end || !machine.lease.isUncertain(leaseTerms_, now) || !machine.lease.sighting()) continue;
+    const auto* record = replica_.machine(id);
+    if (record && !record->tasks.empty()) uncertain.emplace_back(*end, id);
+  }
+  const std::size_t kept = std::min(uncertain.size(), kMostUncertainLeases);
+  std::partial_sort(uncertain.begin(), uncertain.begin() + static_cast<std::ptrdiff_t>(kept),
+                    uncertain.end());
+  uncertainLeases_.clear();
+  for (std::size_t i = 0; i < kept; ++i) {
+    const MachineId& id = uncertain[i].second;
+    uncertainLeases_.emplace(id, *machines_.at(id).lease.sighting());
+  }
+}
+
 void Fleet::countLoss(MachineLoss loss) {
   if (loss == MachineLoss::lost) ++lost_;
   if (loss == MachineLoss::neverBooted) ++neverBooted_;
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -12,7 +12,7 @@
 #include "failures/failure_attribution.hpp"
 #include "fleet/failure_detector.hpp"
 #include "fleet/image_cache.hpp"
-#include "fleet/lease_estimate.hpp"
+#include "fleet/lease_log.hpp"
 #include "fleet/reconcile.hpp"
 #include "store/replica.hpp"
 
@@ -86,6 +86,11 @@
   std::optional<Instant> lastAckBeforeLeadership(const ZoneId& zone) const;
   /// A peer last acknowledged a report of the machine at `at`.
   void noteAckByPeer(const MachineId& id, Instant at);
+  /// Takes in what a controller knows of workers' leases.
+  void adoptLeases(const LeaseSightings& sightings);
+  /// What is known of the leases that were uncertain at the last detectFailures(), of machines with
+  /// tasks: a few dozen at most, those that end first.
+  const LeaseSightings& uncertainLeases() const { return uncertainLeases_; }
   /// An earlier leader knew that the machine holds this image, from tasks that are long over.
   void noteCachedImage(const MachineId& id, std::uint32_t image, double gb);
   /// Applies the cloud's list of machines, which lags by up to `listLag`.
@@ -177,6 +182,7 @@
   void updateFirstSeenRunning(Machine& machine, Instant now) const;
   void updateImageCache(Machine& machine) const;
   bool isUnrecorded(const Machine& machine) const;
+  void updateUncertainLeases(Instant now);
   void updateAckedBeforeLeadership(const ZoneId& zone, Instant bound, Instant now);
   std::optional<Instant> silentBeforeLeadership(const ZoneId& zone) const;
   Duration zoneSilence(int machines) const;
@@ -193,6 +199,7 @@
   std::map<MachineId, Instant> released_;
   std::set<MachineId> terminating_;
   std::set<MachineId> unrecorded_;
+  LeaseSightings uncertainLeases_;
   std::set<MachineId> cordoned_;
   std::map<ZoneId, Instant> suspectedSince_;  ///< as an earlier leader recorded it
   std::map<ZoneId, Instant> lastSuspectedZones_;
--- a/src/fleet/lease_estimate_test.cpp
+++ b/src/fleet/lease_estimate_test.cpp
@@ -19,6 +19,11 @@
     return lease.onHeartbeat(
         {WorkerEpoch{epoch}, ReportSequence{++sequence}, receivedBy, Instant{atMs}}, terms);
   }
+  static LeaseSighting sightingOf(std::uint64_t sequence, const MemberId& receivedBy,
+                                  std::int64_t atMs, std::optional<Instant> renewedAt = {},
+                                  std::uint64_t epoch = 1) {
+    return {{WorkerEpoch{epoch}, ReportSequence{sequence}, receivedBy, Instant{atMs}}, renewedAt};
+  }
   std::int64_t endMs() const { return lease.earliestEnd(terms).value_or(Instant{-1}).ms; }
 };
 
@@ -165,6 +170,76 @@
   EXPECT_EQ(endMs(), -1);
 }
 
+// A new leader's first heartbeat of the worker came 0.25 s before the end of its lease, and that
+// was put a whole lease after it (limits-fall-faults, seed 3123).
+TEST_F(LeaseEstimateTest, BeginsWithWhatAllControllersKnow) {
+  lease.adopt(sightingOf(3, kFollower, 8000), terms);
+  lease.adopt(sightingOf(2, kOther, 3000, Instant{2000}), terms);
+  EXPECT_EQ(endMs(), 13000);
+  EXPECT_TRUE(lease.isAtRisk(terms, Instant{8500}));
+  sequence = 3;
+  hear(13000, kLeader);
+  EXPECT_EQ(endMs(), 13000);
+  hear(14000, kLeader);
+  EXPECT_EQ(endMs(), 24000);
+}
+
+TEST_F(LeaseEstimateTest, KnowsFromTheNextHeartbeatWhetherAnAdoptedOneWasAnswered) {
+  lease.adopt(sightingOf(7, kFollower, 1000), terms);
+  sequence = 7;
+  hear(2000, kFollower);
+  EXPECT_EQ(endMs(), 12000);
+}
+
+// Who reports to a controller for the first time has just lost an answer at another.
+TEST_F(LeaseEstimateTest, CountsFromBeforeTheOldestAdoptedHeartbeatIfNoneIsKnownToBeAnswered) {
+  lease.adopt(sightingOf(8, kOther, 12000), terms);
+  EXPECT_EQ(endMs(), 16750);
+  lease.adopt(sightingOf(7, kFollower, 7000), terms);
+  EXPECT_EQ(endMs(), 11750);
+  EXPECT_TRUE(lease.isAtRisk(terms, Instant{12000}));
+  lease.adopt(sightingOf(6, kLeader, 2000, Instant{1000}), terms);
+  EXPECT_EQ(endMs(), 12000);
+}
+
+// The leader that answered it last had ended, and nobody else had heard it.
+TEST_F(LeaseEstimateTest, CountsFromBeforeTheFirstHeartbeatOfAWorkerThatReportedElsewhere) {
+  sequence = 30;
+  hear(7000, kFollower);
+  EXPECT_EQ(endMs(), 11750);
+  hear(8000, kFollower);
+  EXPECT_EQ(endMs(), 18000);
+}
+
+// The controller to which the worker reported before had ended, and refused the connection at once
+// (limits-fall-faults, seed 3009).
+TEST_F(LeaseEstimateTest, AllowsForARefusalIfTheSessionOutlivesALostAnswer) {
+  lease.adopt(sightingOf(7, kFollower, 7000), terms);
+  lease.onDirectAnswer(WorkerEpoch{1}, Instant{12700}, terms);
+  EXPECT_EQ(endMs(), 11750);
+  lease.onDirectAnswer(WorkerEpoch{1}, Instant{12800}, terms);
+  EXPECT_EQ(endMs(), 15750);
+}
+
+TEST_F(LeaseEstimateTest, AdoptsNothingOlderThanItKnows) {
+  hear(1000, kLeader, 2);
+  hear(2000, kLeader, 2);
+  lease.adopt(sightingOf(1, kOther, 500, Instant{400}, 2), terms);
+  lease.adopt(sightingOf(9, kOther, 1900, Instant{1800}, 1), terms);
+  EXPECT_EQ(endMs(), 12000);
+  lease.adopt(sightingOf(1, kOther, 1900, Instant{1800}, 3), terms);
+  EXPECT_EQ(endMs(), 12800);
+}
+
+TEST_F(LeaseEstimateTest, TellsWhatItKnows) {
+  EXPECT_FALSE(lease.sighting());
+  hear(1000, kLeader);
+  hear(2000, kLeader);
+  ASSERT_TRUE(lease.sighting());
+  EXPECT_EQ(lease.sighting()->newest.sequence, ReportSequence{2});
+  EXPECT_EQ(lease.sighting()->renewedAt, Instant{1000});
+}
+
 TEST_F(LeaseEstimateTest, IgnoresCopiesLateHeartbeatsAndEarlierSessions) {
   hear(1000, kLeader, 2);
   hear(2000, kLeader, 2);
--- a/src/leadership/peer_membership.cpp
+++ b/src/leadership/peer_membership.cpp
@@ -14,9 +14,10 @@
 constexpr Duration kStatusTimeout{1000};
 constexpr const char* kStatusPath = "/mesh/hello";
 constexpr const char* kZoneAcksField = "zone_acks";
+constexpr const char* kUncertainLeasesField = "uncertain_leases";
 }  // namespace
 
-Json toJson(const PeerStatus& s) {
+Json toJson(const PeerStatus& s, Instant now) {
   Json v = {{"member", s.member.value},
             {"token", s.token.value},
             {"leading", s.leading},
@@ -29,10 +30,12 @@
             {"wall_ms", s.wallMs}};
   if (s.newestCancellation) v["cancelled_at"] = s.newestCancellation->value;
   if (s.zoneAcks) v[kZoneAcksField] = toJson(*s.zoneAcks);
+  if (!s.uncertainLeases.empty()) v[kUncertainLeasesField] = toJson(s.uncertainLeases, now);
   return v;
 }
 
-std::optional<PeerStatus> peerStatusFrom(const Json& v, const std::vector<ZoneId>& zones) {
+std::optional<PeerStatus> peerStatusFrom(const Json& v, const std::vector<ZoneId>& zones,
+                                         Instant receivedAt) {
   auto member = textField(v, "member");
   auto token = countField(v, "token");
   auto leading = boolField(v, "leading");
@@ -42,6 +45,7 @@
   auto cancelled = countField(v, "cancelled_at");
   auto wall = static_cast<std::int64_t>(countField(v, "wall_ms").value_or(0));
   const Json* zoneAcks = field(v, kZoneAcksField);
+  const Json* leases = field(v, kUncertainLeasesField);
   return PeerStatus{
       MemberId{*member},
       FencingToken{*token},
@@ -55,7 +59,8 @@
       wall,
       std::nullopt,
       cancelled ? std::optional(Revision{*cancelled}) : std::nullopt,
-      zoneAcks ? zoneAckReportFrom(*zoneAcks, zones) : std::nullopt};
+      zoneAcks ? zoneAckReportFrom(*zoneAcks, zones) : std::nullopt,
+      leases ? leaseSightingsFrom(*leases, receivedAt) : LeaseSightings{}};
 }
 
 PeerMembership::PeerMembership(Runtime& runtime, HttpClient& http, const Platform& platform)
@@ -88,8 +93,8 @@
 }
 
 void PeerMembership::sendStatus(const Peer& peer, OnReply done) {
-  http_.send(peer.address, {"POST", kStatusPath, encodeBody(toJson(own_()))}, kStatusTimeout,
-             std::move(done));
+  http_.send(peer.address, {"POST", kStatusPath, encodeBody(toJson(own_(), runtime_.now()))},
+             kStatusTimeout, std::move(done));
 }
 
 void PeerMembership::onExchanged(const MemberId& peer, Instant asked,
@@ -107,7 +112,7 @@
 }
 
 std::optional<PeerStatus> PeerMembership::recordStatus(const Json& body) {
-  auto s = peerStatusFrom(body, zones_);
+  auto s = peerStatusFrom(body, zones_, runtime_.now());
   if (!s) return s;
   for (const auto& peer : peers_) {
     if (peer.member != s->member) continue;
@@ -132,7 +137,7 @@
   if (!body) return jsonResponse(400, {{"error", "not CBOR"}});
   auto status = recordStatus(*body);
   if (status && onAnnouncement) onAnnouncement(*status);
-  return jsonResponse(200, toJson(own_()));
+  return jsonResponse(200, toJson(own_(), runtime_.now()));
 }
 
 void PeerMembership::notifyLeader(const MemberId& leader) {
--- a/src/leadership/peer_membership.hpp
+++ b/src/leadership/peer_membership.hpp
@@ -9,6 +9,7 @@
 #include "base/runtime.hpp"
 #include "config/platform.hpp"
 #include "connectivity/zone_ack_log.hpp"
+#include "fleet/lease_log.hpp"
 
 namespace kestrelhoist {
 
@@ -37,11 +38,16 @@
   /// What it knows of acknowledged heartbeats by zone; empty: its version does not tell, or what it
   /// told is malformed.
   std::optional<ZoneAckReport> zoneAcks = std::nullopt;
+  /// Of the leader: leases that end unless an answer arrives; see Fleet::uncertainLeases().
+  LeaseSightings uncertainLeases = {};
 };
 
-Json toJson(const PeerStatus& s);
-/// `zones` are those of the settings: a ZoneAckReport that names another is left out.
-std::optional<PeerStatus> peerStatusFrom(const Json& v, const std::vector<ZoneId>& zones = {});
+/// `now`: when it is sent.
+Json toJson(const PeerStatus& s, Instant now = {});
+/// `zones` are those of the settings: a ZoneAckReport that names another is left out. `receivedAt`:
+/// when it was received.
+std::optional<PeerStatus> peerStatusFrom(const Json& v, const std::vector<ZoneId>& zones = {},
+                                         Instant receivedAt = {});
 
 /// Exchanges status with all peers and keeps the newest status of each. Single-threaded.
 class PeerMembership {
