--- a/review/common/region.py
+++ b/review/common/region.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import os
+import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -41,13 +43,23 @@
         print(f"{self.now():8.3f}", *words, file=self.file, flush=True)
 
 
-def free_ports(count):
-    held = [socket.socket() for _ in range(count)]
-    for s in held:
-        s.bind(("127.0.0.1", 0))
-    ports = [s.getsockname()[1] for s in held]
-    for s in held:
-        s.close()
+def free_ports(count, offset=100):
+    """Return free ports below those that the system gives to outgoing connections.
+
+    The port that lies `offset` above each is free, too.
+    """
+    ports, draw = [], random.Random()
+    while len(ports) < count:
+        port = draw.randrange(20000, 31000)
+        if any(abs(port - p) in (0, offset) for p in ports):
+            continue
+        try:
+            for number in (port, port + offset):
+                with socket.socket() as s:
+                    s.bind(("127.0.0.1", number))
+        except OSError:
+            continue
+        ports.append(port)
     return ports
 
 
@@ -257,6 +269,7 @@
                 process.send_signal(signal.SIGCONT)
                 process.kill()
                 process.wait()
+        shutil.rmtree(self.directory, ignore_errors=True)
 
 
 def main(case, record_path):
