--- a/review/common/region.py
+++ b/review/common/region.py
@@ -1,6 +1,7 @@
 """A region on loopback: stand-ins, and the project's controllers as processes of their own."""
 
 import asyncio
+import ctypes
 import os
 import random
 import shutil
@@ -43,6 +44,11 @@
         print(f"{self.now():8.3f}", *words, file=self.file, flush=True)
 
 
+def end_with_parent():
+    """Have this process killed when the test ends, however that ends."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)  # PR_SET_PDEATHSIG
+
+
 def free_ports(count, offset=100):
     """Return free ports below those that the system gives to outgoing connections.
 
@@ -181,7 +187,9 @@
         command += ["--config", self.write_settings(i)]
         log = open(f"{self.directory}/node{i}.log", "a", encoding="utf-8")
         environment = {**os.environ, "LOG_LEVEL": os.environ.get("LOG_LEVEL", "info")}
-        self.processes[i] = subprocess.Popen(command, stderr=log, cwd=ROOT, env=environment)
+        self.processes[i] = subprocess.Popen(
+            command, stderr=log, cwd=ROOT, env=environment, preexec_fn=end_with_parent
+        )
         log.close()
         self.record("controller starts", f"node{i}")
 
