--- a/review/common/region.py
+++ b/review/common/region.py
@@ -88,11 +88,15 @@
         self.runs = []  # (time, "start" or "end", machine, shard, try, why)
         self.processes = [None] * nodes
         self.directory = tempfile.mkdtemp(prefix="review-")
-        ports = free_ports(3 * nodes)
-        self.api = [f"127.0.0.1:{p}" for p in ports[:nodes]]
-        self.mesh = [f"127.0.0.1:{p}" for p in ports[nodes : 2 * nodes]]
-        self.route = {}  # (node, "state" | "cloud" | peer's number) -> address, for proxies
-        self.worker_nodes = list(self.api)
+        self.api, self.mesh = [], []
+        self.worker_nodes = []  # The addresses that the workers know.
+        self.pick_ports()
+
+    def pick_ports(self):
+        ports = free_ports(2 * self.count)
+        self.api[:] = [f"127.0.0.1:{p}" for p in ports[: self.count]]
+        self.mesh[:] = [f"127.0.0.1:{p}" for p in ports[self.count :]]
+        self.worker_nodes[:] = self.api
 
     def describe(self, job):
         return self.jobs.get(job)
@@ -118,9 +122,6 @@
         await self.cloud.server.start()
 
     def write_settings(self, i):
-        def address(to, default):
-            return self.route.get((i, to), default)
-
         lines = [
             f'member = "node{i}"',
             f'site = "{ZONES[i % 3]}"',
@@ -133,12 +134,12 @@
                     "[[peers]]",
                     f'member = "node{k}"',
                     f'site = "{ZONES[k % 3]}"',
-                    f'addr = "{address(k, self.mesh[k])}"',
+                    f'addr = "{self.mesh[k]}"',
                 ]
         lines += [
             "[external]",
-            f'cloud = "{address("cloud", self.cloud.server.address)}"',
-            f'state = "{address("state", self.state.server.address)}"',
+            f'cloud = "{self.cloud.server.address}"',
+            f'state = "{self.state.server.address}"',
             "[settings]",
             f"size = {self.count}",
             'zones = ["a", "b", "c"]',
@@ -207,9 +208,9 @@
                 found.append((i, process.returncode))
         return found
 
-    async def ready(self, i, seconds=20.0):
+    async def ready(self, i, seconds=10.0):
         end = time.monotonic() + seconds
-        while time.monotonic() < end:
+        while time.monotonic() < end and self.processes[i].poll() is None:
             answer = await ask(self.api[i], "GET", "/ready", timeout=1.0)
             if answer and answer[0] == 200:
                 return True
@@ -217,12 +218,18 @@
         return False
 
     async def launch_all(self):
-        for i in range(self.count):
-            self.launch(i)
-        for i in range(self.count):
-            if not await self.ready(i):
-                return False
-        return True
+        for _ in range(3):
+            for i in range(self.count):
+                self.launch(i)
+            ready = [await self.ready(i) for i in range(self.count)]
+            if all(ready):
+                return True
+            self.record("not all controllers get ready; again with other ports", ready)
+            for process in self.processes:
+                process.kill()
+                process.wait()
+            self.pick_ports()
+        return False
 
     def leader(self):
         """Return the number of the controller that the leader key names, or None."""
