--- a/review/common/region.py
+++ b/review/common/region.py
@@ -288,7 +288,7 @@
 
 
 def main(case, record_path):
-    """Run `case(record, trouble)`; exit with 0 if it returns True, 1 if False, else with 2."""
+    """Run `case(record, trouble)`; exit with 0 if it returns True, 10 if False, else with 2."""
     record = Record(record_path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
@@ -302,6 +302,6 @@
         record(words[held])
         print(words[held] + ", see record.txt", flush=True)
         # The stand-ins' tasks end with the process. The controllers have ended already.
-        os._exit({True: 0, False: 1, None: 2}[held])
+        os._exit({True: 0, False: 10, None: 2}[held])
 
     asyncio.run(run())
