--- a/review/common/region.py
+++ b/review/common/region.py
@@ -63,7 +63,7 @@
         self.settings.update(settings or {})
         self.teams = ["platform-crew"]
         self.limits = {}  # team -> (cpus, cpus_max, gpus, gpus_max)
-        self.state = StateService()
+        self.state = StateService(self.settings)
         self.cloud = Cloud([TYPE], 1.0, self._boot, self._release)
         self.jobs = {}
         self.workers = {}
@@ -210,6 +210,10 @@
         entry = self.state.entries.get("kh/leader")
         return int(entry[0]["member"][len("node") :]) if entry else None
 
+    async def ask(self, i, method, path, body=None, timeout=5.0):
+        """Ask a node, with nothing written to the record."""
+        return await ask(self.api[i % self.count], method, path, body, timeout)
+
     async def user(self, i, method, path, body=None, timeout=5.0, **more):
         answer = await ask(self.api[i], method, path, body, timeout, **more)
         self.record("user", f"node{i}", method, path, body or "", "->", answer)
@@ -256,7 +260,7 @@
     record = Record(record_path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
-        held = asyncio.run(asyncio.wait_for(case(record, trouble), 110))
+        held = asyncio.run(asyncio.wait_for(case(record, trouble), 117))
     except Exception as error:  # pylint: disable=broad-except
         record("the case could not run:", type(error).__name__, error)
         print("could not run:", type(error).__name__, error)
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -1,6 +1,7 @@
 """Stand-ins of the state service, the cloud and the workers, after PROTOCOL-kestrelhoist.md."""
 
 import asyncio
+import json
 import time
 import urllib.parse
 
@@ -17,10 +18,37 @@
     return plain, found
 
 
+def size_of(value):
+    """Count a value as the pages do: in the form in which it appears as JSON."""
+    return len(json.dumps(value, separators=(",", ":"), ensure_ascii=False).encode())
+
+
+class Rate:
+    """A limit of so many a second, with bursts of one second's worth."""
+
+    def __init__(self, per_s):
+        self.per_s = self.left = per_s
+        self.at = time.monotonic()
+
+    def take(self, n):
+        now = time.monotonic()
+        self.left = min(self.per_s, self.left + (now - self.at) * self.per_s)
+        self.at = now
+        if self.left < n:
+            return False
+        self.left -= n
+        return True
+
+
 class StateService:
     """The key-value store: keys, transactions, leases and the feed of changes."""
 
-    def __init__(self):
+    def __init__(self, settings):
+        self.requests = Rate(settings["rps"])
+        self.changes_rate = Rate(settings["write_rps"])
+        self.value_bytes = settings["value_kb"] * 1024
+        self.txn_ops = settings["txn_ops"]
+        self.on_refused = None  # (what, details) -> None
         self.entries = {}  # key -> (value, revision, lease or None)
         self.log = []  # (revision, key, value or None)
         self.epoch = 0
@@ -64,6 +92,8 @@
         self.expire()
         if time.monotonic() < self.down_until:
             return 503, {"error": "trouble"}
+        if not self.requests.take(1):
+            return 429, {"error": "too many requests"}
         plain, query = query_of(path)
         if plain == "/commit":
             return self.commit(body)
@@ -91,7 +121,26 @@
             self.leases[lease][1] = time.monotonic() + self.leases[lease][0]
         return 200, {"ticket": lease}
 
+    def malformed(self, body):
+        """Return what is wrong with a transaction by the limits of the pages, or None."""
+        if len(body["writes"]) > self.txn_ops:
+            return "too many puts and deletes"
+        if len(body["when"]) > 4 * self.txn_ops:
+            return "too many conditions"
+        if any("set" in w and size_of(w["data"]) > self.value_bytes for w in body["writes"]):
+            return "a value is too large"
+        if size_of(body) > 64 * 1024:
+            return "the transaction is larger than 64 KiB altogether"
+        return None
+
     def commit(self, body):
+        wrong = self.malformed(body)
+        if wrong:
+            if self.on_refused:
+                self.on_refused(wrong, body)
+            return 400, {"error": wrong}
+        if not self.changes_rate.take(len(body["writes"])):
+            return 429, {"error": "too many changes"}
         failed = [
             c["path"]
             for c in body["when"]
