Bound the structure of every message before it is decoded

Cause: the JSON library's CBOR reader calls itself for each level of lists, maps, tags and texts in chunks, and nothing bounded the levels. Evidence: 30,770 frames of 272 bytes of that one function, below them Controller::onApi, fill the 8 MiB of the main thread. One controller alone ends by 32,768 bytes 0x7f or 65,536 bytes 0x5f at /v2/runs, /agent/beat, /mesh/hello and /mesh/policy; with a stack of 2 MiB also by lists and maps, sound ones included; without a limit on the stack by none of nine bodies. The same reader throws for a list that claims more items than memory holds (answered 500, which is retried, not 400).

Change: findFault() goes through a message with libcbor's reader, which does not recurse, and refuses what is no CBOR, too deep (32 levels; 128 for messages of controllers and of the state service, which hold parts of others some levels deeper) or of too many items. decodeBody() asks it first, so every caller answers as for a malformed body, and whatever later copies, compares, prints or encodes a decoded value is bounded as well. A debug log event and the metric messages_refused_total tell the faults apart. The check costs 5 to 7 us for a heartbeat of 1.6 KB that takes 53 to 58 us to decode.

--- a/client/src/caller.cpp
+++ b/client/src/caller.cpp
@@ -12,7 +12,7 @@
 constexpr double kRetriesPerCall = 0.1;
 
 bool parseBody(const Response& r, Json& body) {
-  auto decoded = decodeBody(r.body);
+  auto decoded = decodeBody(r.body, kInternalLimits);
   if (!decoded || !decoded->is_object()) return false;
   body = std::move(*decoded);
   return true;
--- a/simulator/model/state_service.cpp
+++ b/simulator/model/state_service.cpp
@@ -63,7 +63,7 @@
     return jsonResponse(503, {{"error", "trouble"}});
   }
   std::string path = q.path.substr(0, q.path.find('?'));
-  auto body = decodeBody(q.body);
+  auto body = decodeBody(q.body, kInternalLimits);
   if (path == "/commit") return body ? commit(*body) : jsonResponse(400, {});
   if (q.method == "GET") ++readCount;
   if (path == "/store") return list(queryOf(q.path));
--- a/src/app/controller_leadership.cpp
+++ b/src/app/controller_leadership.cpp
@@ -142,7 +142,7 @@
         peer.member, {"POST", "/mesh/answered", encodeBody(Json::object())}, Duration{2000},
         [this, token = election_.token()](const std::optional<Response>& r) {
           if (!leader_ || leader_->token() != token || !r || r->status != 200) return;
-          auto body = decodeBody(r->body);
+          auto body = decodeBody(r->body, kInternalLimits);
           if (!body) return;
           for (const auto& [machine, at] : HeartbeatAckLog::parse(*body, runtime_.now())) {
             leader_->fleet().noteAckByPeer(machine, at);
@@ -165,7 +165,7 @@
         [](const Answer& answer) { return !answer; },
         [this, token = election_.token()](Instant, const Answer& answer) {
           if (!leader_ || leader_->token() != token || !answer || answer->status != 200) return;
-          auto body = decodeBody(answer->body);
+          auto body = decodeBody(answer->body, kInternalLimits);
           if (!body) return;
           leader_->fleet().adoptLeases(leaseObservationsFromJson(*body, runtime_.now()));
         });
--- a/src/app/controller_user_api.cpp
+++ b/src/app/controller_user_api.cpp
@@ -57,7 +57,7 @@
 
 Respond Controller::withReasons(const Respond& respond) {
   return [this, respond](const Response& r) {
-    auto body = r.status == 200 ? decodeBody(r.body) : std::nullopt;
+    auto body = r.status == 200 ? decodeBody(r.body, kInternalLimits) : std::nullopt;
     auto ref = body ? textField(*body, body->contains("job") ? "job" : "ref") : std::nullopt;
     if (!ref) return respond(r);
     auto respondWith = [respond, body = *body](const Json& why) mutable {
@@ -70,8 +70,9 @@
     if (!leader) return respondWith(noLeader);
     peerMembership_.send(leader->member, {"GET", "/mesh/why/" + *ref, ""}, kForwardTimeout,
                          [respondWith, noLeader](const std::optional<Response>& answer) mutable {
-                           auto why = answer && answer->status == 200 ? decodeBody(answer->body)
-                                                                      : std::nullopt;
+                           auto why = answer && answer->status == 200
+                                          ? decodeBody(answer->body, kInternalLimits)
+                                          : std::nullopt;
                            respondWith(why ? *why : noLeader);
                          });
   };
--- a/src/base/codec.cpp
+++ b/src/base/codec.cpp
@@ -12,7 +12,8 @@
   return out;
 }
 
-std::optional<Json> decodeBody(const std::string& body) {
+std::optional<Json> decodeBody(const std::string& body, const MessageLimits& limits) {
+  if (findFault(body, limits)) return std::nullopt;
   Json value = Json::from_cbor(body, true, false, Json::cbor_tag_handler_t::ignore);
   if (value.is_discarded()) return std::nullopt;
   return value;
--- a/src/base/runtime.hpp
+++ b/src/base/runtime.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "base/message_limits.hpp"
 #include "base/types.hpp"
 
 namespace kestrelhoist {
@@ -69,8 +70,9 @@
 
 /// Encodes a value as a CBOR body.
 std::string encodeBody(const Json& value);
-/// Decodes a CBOR body; returns nullopt if it is malformed and never throws.
-std::optional<Json> decodeBody(const std::string& body);
+/// Decodes a CBOR body; returns nullopt if it is malformed or beyond the limits, and never throws.
+std::optional<Json> decodeBody(const std::string& body,
+                               const MessageLimits& limits = kExternalLimits);
 
 // The following functions read untrusted messages and never throw.
 
--- a/src/connectivity/heartbeat_forwarder.cpp
+++ b/src/connectivity/heartbeat_forwarder.cpp
@@ -105,7 +105,8 @@
                                          const std::optional<Response>& response) {
   PeerQueue& queue = queues_[leader];
   --queue.inFlight;
-  auto body = response && response->status == 200 ? decodeBody(response->body) : std::nullopt;
+  auto body = response && response->status == 200 ? decodeBody(response->body, kInternalLimits)
+                                                  : std::nullopt;
   bool complete = body && body->is_array() && body->size() == callbacks.size();
   complete ? queue.link.onAnswered(sent) : queue.link.onFailed(sent);
   for (std::size_t i = 0; i < callbacks.size(); ++i) {
@@ -130,12 +131,12 @@
 }
 
 Response answerBatch(const Request& request, const std::function<Response(const Json&)>& serve) {
-  auto body = decodeBody(request.body);
+  auto body = decodeBody(request.body, kInternalLimits);
   if (!body || !body->is_array()) return jsonResponse(400, {{"error", "not a list of reports"}});
   Json answers = Json::array();
   for (const auto& report : *body) {
     Response r = serve(report);
-    auto inner = decodeBody(r.body);
+    auto inner = decodeBody(r.body, kInternalLimits);
     answers.push_back({{"status", r.status}, {"body", inner ? std::move(*inner) : Json::object()}});
   }
   return jsonResponse(200, answers);
--- a/src/leadership/peer_membership.cpp
+++ b/src/leadership/peer_membership.cpp
@@ -109,7 +109,7 @@
     if (onRefused) onRefused(peer);
   }
   if (!response || response->status != 200) return;
-  auto body = decodeBody(response->body);
+  auto body = decodeBody(response->body, kInternalLimits);
   auto s = body ? recordStatus(*body) : std::nullopt;
   if (s && s->member == peer && onAnswer) onAnswer(*s, sentAt);
 }
@@ -135,7 +135,7 @@
 }
 
 Response PeerMembership::onStatusRequest(const Request& request) {
-  auto body = decodeBody(request.body);
+  auto body = decodeBody(request.body, kInternalLimits);
   if (!body) return jsonResponse(400, {{"error", "not CBOR"}});
   auto status = recordStatus(*body);
   if (status && onAnnouncement) onAnnouncement(*status);
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -6,6 +6,8 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include "base/message_limits.hpp"
+
 namespace kestrelhoist {
 namespace {
 const prometheus::Histogram::BucketBoundaries kSeconds{0.002, 0.005, 0.01, 0.02, 0.05, 0.1,
@@ -40,6 +42,8 @@
       "requests sent once more as nobody had answered, by what they are");
   prometheus::Family<prometheus::Counter>& leaseEndProbes = family<prometheus::Counter>(
       registry, "lease_end_probes_total", "probes at the end of workers' leases, by answer");
+  prometheus::Family<prometheus::Counter>& refusedMessages = family<prometheus::Counter>(
+      registry, "messages_refused_total", "messages that were not decoded, by fault");
   prometheus::Histogram& silence =
       family<prometheus::Histogram>(
           registry, "machine_silence_seconds",
@@ -77,7 +81,15 @@
   families_->leaseEndProbes.Add({{"answer", answer}}).Increment();
 }
 
+void Metrics::collectRefusedMessages() {
+  for (MessageFault fault : kMessageFaults) {
+    auto& counter = families_->refusedMessages.Add({{"fault", toString(fault)}});
+    counter.Increment(static_cast<double>(refusedMessages(fault)) - counter.Value());
+  }
+}
+
 std::string Metrics::text() {
+  collectRefusedMessages();
   if (gauges) {
     MetricGauges g = gauges();
     auto set = [&](const char* what, double v) { families_->state.Add({{"what", what}}).Set(v); };
--- a/src/metrics/metrics.hpp
+++ b/src/metrics/metrics.hpp
@@ -56,6 +56,8 @@
   std::string text();
 
  private:
+  void collectRefusedMessages();
+
   struct Families;
   std::unique_ptr<Families> families_;
 };
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -25,7 +25,7 @@
 // Returns the decoded body of the response, or nothing if there is no response or no valid body.
 std::optional<Json> bodyOf(const std::optional<Response>& r) {
   if (!r) return std::nullopt;
-  auto body = decodeBody(r->body);
+  auto body = decodeBody(r->body, kInternalLimits);
   if (!body || !body->is_object()) return std::nullopt;
   return body;
 }
