Bound the nesting of JSON settings and policies

What callers saw: kestrelhoist-admin policy set ended by SIGSEGV for a file with an unknown field of 100,000 levels.

Cause: the schema permits unknown fields, and putting the document into the request copies it, which takes stack for each level. Evidence: 50,000 levels are sent, 100,000, 200,000 and 400,000 end the command (status 139).

PolicyDocument.ADeepUnknownFieldIsRefusedInOneLine fails without the bound.

--- a/cli/policy_commands.cpp
+++ b/cli/policy_commands.cpp
@@ -31,7 +31,7 @@
     std::ifstream in(file);
     std::stringstream text;
     text << in.rdbuf();
-    document = parseJson(text.str());
+    document = parseDocument(text.str());
     // An invalid document throws here, with a JSON pointer to the fault, and is not sent.
     parsePolicy(document);
   }
--- a/src/base/codec.cpp
+++ b/src/base/codec.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <cctype>
 #include <cmath>
+#include <stdexcept>
 
 #include "base/runtime.hpp"
 
@@ -19,6 +20,21 @@
   return value;
 }
 
+Json parseJsonText(const std::string& text) {
+  bool tooDeep = false;
+  // The parser itself takes no stack for nested values, but whatever copies or prints them does.
+  auto isWithinLimit = [&tooDeep](int levelsAround, Json::parse_event_t event, const Json&) {
+    bool opens =
+        event == Json::parse_event_t::object_start || event == Json::parse_event_t::array_start;
+    if (opens && levelsAround >= static_cast<int>(kExternalLimits.nesting)) tooDeep = true;
+    return !tooDeep;
+  };
+  Json value = Json::parse(text, isWithinLimit, false);
+  if (tooDeep) throw std::runtime_error("is nested too deeply");
+  if (value.is_discarded()) throw std::runtime_error("is not JSON");
+  return value;
+}
+
 namespace {
 
 bool validUtf8(const std::string& text) {
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -7,6 +7,8 @@
 #include <valijson/validation_results.hpp>
 #include <valijson/validator.hpp>
 
+#include "base/runtime.hpp"
+
 namespace kestrelhoist {
 
 namespace {
@@ -30,8 +32,12 @@
 
 nlohmann::json parseChecked(const std::string& text, const std::string& file,
                             const char* schemaText) {
-  nlohmann::json value = nlohmann::json::parse(text, nullptr, false);
-  if (value.is_discarded()) throw std::runtime_error(file + ": is not JSON");
+  nlohmann::json value;
+  try {
+    value = parseJsonText(text);
+  } catch (const std::runtime_error& e) {
+    throw std::runtime_error(file + ": " + e.what());
+  }
   if (auto error = findViolation(value, schemaText)) {
     std::string line = file + ":";
     for (const auto& part : error->context) line += " " + part;
--- a/src/policy/document.cpp
+++ b/src/policy/document.cpp
@@ -151,10 +151,12 @@
                      [&](const Selector& s) { return s.matches(spec); });
 }
 
-Json parseJson(const std::string& text) {
-  Json value = Json::parse(text, nullptr, false);
-  if (value.is_discarded()) throwInvalid("/", "is not JSON");
-  return value;
+Json parseDocument(const std::string& text) {
+  try {
+    return parseJsonText(text);
+  } catch (const std::runtime_error& e) {
+    throwInvalid("/", e.what());
+  }
 }
 
 std::shared_ptr<const Policy> parsePolicy(const Json& document) {
--- a/src/policy/document.hpp
+++ b/src/policy/document.hpp
@@ -74,7 +74,8 @@
 /// Parses a policy document. Throws std::runtime_error with a single line, the JSON pointer of the
 /// invalid field and the reason, if the document is invalid.
 std::shared_ptr<const Policy> parsePolicy(const Json& document);
-/// Parses JSON text. Throws std::runtime_error like parsePolicy() if the text is not JSON.
-Json parseJson(const std::string& text);
+/// Parses the JSON text of a policy document. Throws std::runtime_error like parsePolicy() if the
+/// text is not JSON or nested too deeply.
+Json parseDocument(const std::string& text);
 
 }  // namespace kestrelhoist
--- a/src/policy/policy_test.cpp
+++ b/src/policy/policy_test.cpp
@@ -62,10 +62,29 @@
   EXPECT_FALSE(occurrenceAt(c, utc("2026-12-30 23:00")));  // no period opens on a Wednesday
 }
 
+// Guards against a command that ends by SIGSEGV when it copies a policy whose unknown field is nested
+// deeply.
+TEST(PolicyDocument, ADeepUnknownFieldIsRefusedInOneLine) {
+  constexpr std::size_t kLevels = 200000;
+  std::string deep = R"({"unknown":)" + std::string(kLevels, '[') + std::string(kLevels, ']') + "}";
+  try {
+    Json body = {{"document", parseDocument(deep)}};
+    FAIL() << "a document of " << kLevels << " levels was read";
+  } catch (const std::runtime_error& e) {
+    EXPECT_STREQ(e.what(), "/: is nested too deeply");
+  }
+  const std::size_t allowed = kExternalLimits.nesting - 1;
+  EXPECT_NO_THROW(parseDocument(R"({"unknown":)" + std::string(allowed, '[') +
+                                std::string(allowed, ']') + "}"));
+  EXPECT_THROW(parseDocument(R"({"unknown":)" + std::string(allowed + 1, '[') +
+                             std::string(allowed + 1, ']') + "}"),
+               std::runtime_error);
+}
+
 TEST(PolicyDocument, FaultsNameTheirPlace) {
   auto why = [](const char* text) -> std::string {
     try {
-      parsePolicy(parseJson(text));
+      parsePolicy(parseDocument(text));
     } catch (const std::exception& e) {
       return e.what();
     }
