Bound the parts of a settings key and the length of settings files

Cause: toml++ bounds the nesting of values but not the parts of keys, each of which is a table in a table, and takes stack for each level when it drops them. Evidence: 100,000 parts are called valid, 500,000 end by status -11, as a key and as a header.

Change: a key has at most 32 parts, checked before the text is parsed; one function reads settings files, of at most 1 MiB, for the controller, the client and the policy command. PlatformSettings.AKeyOfManyPartsIsRefusedInOneLine ends by SIGSEGV without the check.

--- a/cli/policy_commands.cpp
+++ b/cli/policy_commands.cpp
@@ -1,10 +1,9 @@
 // Implements the subcommands `policy` and `pool` of hoist-admin.
 #include <ctime>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include "cli/commands.hpp"
+#include "config/settings_file.hpp"
 #include "policy/document.hpp"
 
 namespace kestrelhoist::hoist {
@@ -28,10 +27,7 @@
 int Session::policySet(const std::string& file, std::optional<std::uint64_t> base, bool check) {
   Json document;
   if (!file.empty()) {
-    std::ifstream in(file);
-    std::stringstream text;
-    text << in.rdbuf();
-    document = parseDocument(text.str());
+    document = parseDocument(readSettingsFile(file));
     // An invalid document throws here, with a JSON pointer to the fault, and is not sent.
     parsePolicy(document);
   }
--- a/client/src/settings.cpp
+++ b/client/src/settings.cpp
@@ -7,6 +7,7 @@
 #include <stdexcept>
 
 #include "config/schema.hpp"
+#include "config/settings_file.hpp"
 
 namespace kestrelhoist {
 
@@ -101,13 +102,8 @@
     file = home + "/hoist.json";
   }
   ClientSettings s;
-  std::ifstream in(file, std::ios::binary);
-  if (in) {
-    std::ostringstream text;
-    text << in.rdbuf();
-    s = parseClientSettings(text.str(), file);
-  } else if (isRequired) {
-    throw std::runtime_error(file + ": cannot be read");
+  if (isRequired || std::filesystem::exists(file)) {
+    s = parseClientSettings(readSettingsFile(file), file);
   }
   if (auto v = env("HOIST_SERVERS"); !v.empty()) s.servers = splitList(v);
   if (auto v = env("HOIST_TEAM"); !v.empty()) s.team = v;
--- a/src/config/config_test.cpp
+++ b/src/config/config_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
 
@@ -147,5 +148,23 @@
   std::remove(file.c_str());
 }
 
+// Guards against a program that ends by SIGSEGV when it drops settings whose keys have a part for
+// each level.
+TEST(PlatformSettings, AKeyOfManyPartsIsRefusedInOneLine) {
+  std::string key = "a";
+  for (int i = 0; i < 400000; ++i) key += ".a";
+  auto line = 1 + std::count(kValidSettings.begin(), kValidSettings.end(), '\n');
+  EXPECT_EQ(parseError(kValidSettings + key + " = 1\n"),
+            "settings.toml: line " + std::to_string(line) + ": has too many dots");
+  EXPECT_NE(parseError(kValidSettings + "[" + key + "]\n"), "");
+  EXPECT_NE(parseError(kValidSettings + "x = {" + key + " = 1}\n"), "");
+  EXPECT_NE(parseError(kValidSettings + "x = " + std::string(400000, '[')), "");
+  EXPECT_EQ(parseError(kValidSettings + "[a.b.c]\nd.e = [1.5, 2.5, \"10.0.0.1:80\"]\n"), "");
+}
+
+TEST(PlatformSettings, AFileWithoutEndIsRefusedInOneLine) {
+  EXPECT_THROW(loadPlatform("/dev/zero"), std::runtime_error);
+  EXPECT_THROW(loadOperatorSettings("/dev/zero"), std::runtime_error);
+}
 }  // namespace
 }  // namespace kestrelhoist
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -2,10 +2,10 @@
 
 #include <filesystem>
 #include <fstream>
-#include <sstream>
 #include <stdexcept>
 
 #include "config/schema.hpp"
+#include "config/settings_file.hpp"
 
 namespace kestrelhoist {
 
@@ -170,12 +170,7 @@
 }
 
 OperatorSettings loadOperatorSettings(const std::string& file) {
-  std::ifstream in(file, std::ios::binary);
-  if (!in) throw std::runtime_error(file + ": cannot be read");
-  std::ostringstream text;
-  text << in.rdbuf();
-  if (in.bad()) throw std::runtime_error(file + ": cannot be read");
-  return parseOperatorSettings(text.str(), file);
+  return parseOperatorSettings(readSettingsFile(file), file);
 }
 
 }  // namespace kestrelhoist
--- a/src/config/platform.cpp
+++ b/src/config/platform.cpp
@@ -1,14 +1,13 @@
 #include "config/platform.hpp"
 
 #include <algorithm>
-#include <fstream>
 #include <set>
-#include <sstream>
 #include <stdexcept>
 #define TOML_EXCEPTIONS 1
 #include <toml++/toml.h>
 
 #include "base/http.hpp"
+#include "config/settings_file.hpp"
 
 namespace kestrelhoist {
 namespace {
@@ -67,6 +66,24 @@
   std::string file_;
 };
 
+// A key with dots and a table's header nest one table for each of their parts.
+constexpr std::size_t kMaxKeyParts = 32;
+
+// Throws if a key has too many parts. toml++ limits the nesting of values but not that of keys, and
+// it takes stack for each level of the result.
+void checkKeyParts(const std::string& content, const std::string& file) {
+  std::size_t parts = 1;
+  std::size_t line = 1;
+  for (char c : content) {
+    if (c == '\n') ++line;
+    if (c == '.') ++parts;
+    if (std::string_view("=,[]{}\n").find(c) != std::string_view::npos) parts = 1;
+    if (parts > kMaxKeyParts) {
+      throw std::runtime_error(file + ": line " + std::to_string(line) + ": has too many dots");
+    }
+  }
+}
+
 // Lowers the limits to those that the state service will switch to at an unannounced time.
 void readNextLimits(const Reader& r, const toml::table& next, Platform& p) {
   const std::string at = "settings.state.next.";
@@ -86,6 +103,7 @@
 }  // namespace
 
 Platform parsePlatform(const std::string& content, const std::string& file) {
+  checkKeyParts(content, file);
   toml::table root;
   try {
     root = toml::parse(content, file);
@@ -158,12 +176,7 @@
 }
 
 Platform loadPlatform(const std::string& file) {
-  std::ifstream in(file, std::ios::binary);
-  if (!in) throw std::runtime_error(file + ": cannot be read");
-  std::ostringstream text;
-  text << in.rdbuf();
-  if (in.bad()) throw std::runtime_error(file + ": cannot be read");
-  return parsePlatform(text.str(), file);
+  return parsePlatform(readSettingsFile(file), file);
 }
 
 }  // namespace kestrelhoist
--- a/src/policy/policy_test.cpp
+++ b/src/policy/policy_test.cpp
@@ -62,8 +62,8 @@
   EXPECT_FALSE(occurrenceAt(c, utc("2026-12-30 23:00")));  // no period opens on a Wednesday
 }
 
-// Guards against a command that ends by SIGSEGV when it copies a policy whose unknown field is nested
-// deeply.
+// Guards against a command that ends by SIGSEGV when it copies a policy whose unknown field is
+// nested deeply.
 TEST(PolicyDocument, ADeepUnknownFieldIsRefusedInOneLine) {
   constexpr std::size_t kLevels = 200000;
   std::string deep = R"({"unknown":)" + std::string(kLevels, '[') + std::string(kLevels, ']') + "}";
