Client settings: check an address by an expression of bounded length

What callers saw: kestrelhoist-cli ended by SIGSEGV (status 139) for a settings file with an address of 300,000 digits.

Cause: the expression of the schema has unbounded repetitions, and the standard library matches each character by a call within a call. The other expressions of the project's schemas are bounded.

Change: the bounds of an IPv4 address with a port. ClientSettings.ALongAddressIsRefusedInOneLine ends by SIGSEGV without them.

--- a/client/src/settings.cpp
+++ b/client/src/settings.cpp
@@ -17,7 +17,7 @@
   "type": "object",
   "additionalProperties": false,
   "properties": {
-    "servers": {"type": "array", "minItems": 1, "items": {"type": "string", "pattern": "^[0-9.]+:[0-9]+$"}},
+    "servers": {"type": "array", "minItems": 1, "items": {"type": "string", "pattern": "^[0-9.]{7,15}:[0-9]{1,5}$"}},
     "team": {"type": "string", "minLength": 1},
     "member": {"type": "string", "pattern": "^[A-Za-z0-9_-][A-Za-z0-9._-]{0,63}$"},
     "files": {"type": "string", "minLength": 1},
--- a/tests/hoist_test.cpp
+++ b/tests/hoist_test.cpp
@@ -72,6 +72,14 @@
   EXPECT_NE(r.out.find("--keep-going"), std::string::npos);
 }
 
+// Guards against a command that ends by SIGSEGV when it checks a long address: the regular
+// expression of the schema took stack for each character.
+TEST(ClientSettings, ALongAddressIsRefusedInOneLine) {
+  std::string address(300000, '1');
+  EXPECT_THROW(parseClientSettings(R"({"servers": [")" + address + "\"]}", "hoist.json"),
+               std::runtime_error);
+}
+
 TEST(ClientSettings, AreCheckedByTheirSchema) {
   auto s = parseClientSettings(R"({"servers": ["127.0.0.1:1"], "member": "ana", "files": "/f"})",
                                "hoist.json");
