Simulator: answer 400 to requests that can't be read

What callers saw: a POST /leases or /hosts whose body is no CBOR was read through an empty optional; a field of another type left a request to the cloud unanswered. A controller that ended by a signal was not told in the log.

Cause: the state service and the cloud took the decoded body for granted; the cloud answers from a timer, where nobody answers after an exception; the log told exits only.

Change: 400, as PROTOCOL says; a lease's life is checked against PROTOCOL's bounds; the log names the signal.

--- a/simulator/main.cpp
+++ b/simulator/main.cpp
@@ -159,8 +159,11 @@
       int status = 0;
       if (pids_[i] <= 0 || waitpid(pids_[i], &status, WNOHANG) != pids_[i]) continue;
       pids_[i] = 0;
-      if (WIFEXITED(status))
+      if (WIFEXITED(status)) {
         kh::logError("controller exited on its own", "node", i, "status", WEXITSTATUS(status));
+      } else if (WTERMSIG(status) != SIGKILL) {
+        kh::logError("controller was ended by a signal", "node", i, "signal", WTERMSIG(status));
+      }
       loop_.after(kh::Duration{options_.restartDelayMs}, [this, i] {
         if (!ending_) start(static_cast<int>(i));
       });
--- a/simulator/model/simulated_region.cpp
+++ b/simulator/model/simulated_region.cpp
@@ -15,7 +15,7 @@
     capacity_[{z, true}] = settings.spotPerZone;
   }
   transport.listen("cloud:1", [this](const std::string&, const Request& q, const Respond& respond) {
-    clock.in(100, [this, q, respond] { respond(cloud(q)); });
+    clock.in(100, [this, q, respond] { respond(answerCloud(q)); });
   });
 }
 
@@ -70,10 +70,21 @@
   for (const auto& z : settings.zones) capacity_[{z, spot}] = perZone;
 }
 
+Response SimulatedRegion::answerCloud(const Request& q) {
+  try {
+    return cloud(q);
+  } catch (const Json::exception& e) {
+    return jsonResponse(400, {{"error", e.what()}});
+  }
+}
+
 Response SimulatedRegion::cloud(const Request& q) {
   if (clock.now() < cloudOutageUntil) return jsonResponse(503, {{"error", "trouble"}});
   std::string path = q.path.substr(0, q.path.find('?'));
   auto body = decodeBody(q.body);
+  if (q.method == "POST" && (!body || !body->is_object())) {
+    return jsonResponse(400, {{"error", "not a map"}});
+  }
   if (path == "/machine_types") {
     Json type = {{"name", "box"},          {"cpus", settings.cpus}, {"gpus", settings.gpus},
                  {"ram_gb", settings.ram}, {"local_gb", 50},        {"pull_gb_per_s", 1.0},
--- a/simulator/model/simulated_region.hpp
+++ b/simulator/model/simulated_region.hpp
@@ -159,6 +159,8 @@
   void setCapacity(bool spot, int perZone);
   /// Returns the rented time of all machines so far, in seconds.
   double machineSeconds() const;
+  /// Answers 400 if a field is missing or of another type.
+  Response answerCloud(const Request& q);
   Response cloud(const Request& q);
 
   RegionSettings settings;
--- a/simulator/model/state_service.cpp
+++ b/simulator/model/state_service.cpp
@@ -5,6 +5,10 @@
 namespace kestrelhoist::simulator {
 namespace {
 
+// The bounds of a lease's life in PROTOCOL.
+constexpr std::uint64_t kMinLeaseMs = 100;
+constexpr std::uint64_t kMaxLeaseMs = 600000;
+
 std::map<std::string, std::string> queryOf(const std::string& path) {
   std::map<std::string, std::string> out;
   auto mark = path.find('?');
@@ -64,7 +68,9 @@
   }
   std::string path = q.path.substr(0, q.path.find('?'));
   auto body = decodeBody(q.body, kInternalLimits);
-  if (path == "/commit") return body ? commit(*body) : jsonResponse(400, {});
+  if (path == "/commit") {
+    return body && body->is_object() ? commit(*body) : jsonResponse(400, Json::object());
+  }
   if (q.method == "GET") ++readCount;
   if (path == "/store") return list(queryOf(q.path));
   if (path.starts_with("/store/")) {
@@ -76,8 +82,12 @@
   }
   if (path == "/changes") return changes(queryOf(q.path));
   if (path == "/leases") {
+    auto lifeMs = body ? countField(*body, "life_ms") : std::nullopt;
+    if (!lifeMs || *lifeMs < kMinLeaseMs || *lifeMs > kMaxLeaseMs) {
+      return jsonResponse(400, Json::object());
+    }
     auto id = nextLease_++;
-    auto durationMs = static_cast<std::int64_t>(*countField(*body, "life_ms"));
+    auto durationMs = static_cast<std::int64_t>(*lifeMs);
     leases_[id] = {durationMs, clock_.now() + durationMs};
     if (onLease) onLease(from);
     return jsonResponse(200, {{"ticket", id}});
--- a/tests/message_faults_test.cpp
+++ b/tests/message_faults_test.cpp
@@ -285,5 +285,52 @@
   EXPECT_TRUE(region.accepts(2, Duration{30000}));
 }
 
+// Guards against a simulator that ends because of a body that its state service, cloud or a worker
+// reads.
+TEST(MessageFaults, TheSimulatorAnswersEveryDrawnBody) {
+  spdlog::set_level(spdlog::level::off);
+  TemporaryDirectory directory;
+  RegionProcess region(directory.path, directory.write("operator.json", "{}"), {});
+  ASSERT_FALSE(region.servers.empty());
+  std::ifstream settings(directory.path + "/node0.toml");
+  std::string state, cloud;
+  for (std::string line; std::getline(settings, line);) {
+    std::string value = line.substr(line.find('"') + 1, line.rfind('"') - line.find('"') - 1);
+    if (line.starts_with("state = ")) state = value;
+    if (line.starts_with("cloud = ")) cloud = value;
+  }
+  EventLoop loop;
+  EvHttpClient client(loop, 8);
+  DrawnBodies bodies(seed());
+  struct Path {
+    std::string address, path;
+    Json sound;
+  };
+  const std::vector<Path> paths{
+      {state, "/commit", {{"when", Json::array()}, {"writes", Json::array()}}},
+      {state, "/leases", {{"life_ms", 5000}}},
+      {cloud,
+       "/hosts",
+       {{"hire", "r-x"}, {"rig", "box"}, {"site", "a"}, {"loaners", false}, {"count", 1}}},
+      {cloud, "/hosts/release", {{"hosts", {"host-x"}}}},
+  };
+  for (const auto& path : paths) {
+    for (std::uint64_t n = 0; n < bodiesPerPath(); ++n) {
+      std::string body = n % 4 == 0 ? bodies.drawUnusable() : bodies.draw(path.sound);
+      int status = 0;
+      client.send(path.address, {"POST", path.path, body}, kAnswerTimeout,
+                  [&](std::optional<Response> r) {
+                    status = r ? r->status : 0;
+                    loop.stop();
+                  });
+      loop.run();
+      ASSERT_NE(status, 0) << path.path << ", body " << n << " of seed " << seed();
+      if (n % 4 == 0) {
+        ASSERT_EQ(status, 400) << path.path << ", body " << n << " of seed " << seed();
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace kestrelhoist
