--- a/src/base/http_test.cpp
+++ b/src/base/http_test.cpp
@@ -137,6 +137,24 @@
   EXPECT_TRUE(unanswered);
 }
 
+// Guards against an answer whose headers take all memory.
+TEST(Http, AnAnswerWithLongHeadersIsNoAnswer) {
+  EventLoop loop;
+  constexpr std::size_t kHeaderBytes = 1024 * 1024;
+  HttpServer server(loop, "127.0.0.1:0", [](const Request&, const Respond& respond) {
+    respond({200, "", 0, std::string(kHeaderBytes, 'x')});
+  });
+  EvHttpClient client(loop, 8);
+  bool unanswered = false;
+  client.send("127.0.0.1:" + std::to_string(server.port()), {"GET", "/", ""}, Duration{2000},
+              [&](std::optional<Response> r) {
+                unanswered = !r;
+                loop.stop();
+              });
+  loop.run();
+  EXPECT_TRUE(unanswered);
+}
+
 TEST(Cbor, BadBodiesAreNoValue) {
   EXPECT_FALSE(decodeBody(""));
   EXPECT_FALSE(decodeBody("\xa1"));
--- a/tests/message_faults_test.cpp
+++ b/tests/message_faults_test.cpp
@@ -332,5 +332,37 @@
   }
 }
 
+// Guards against a command that ends by a signal because of an answer.
+TEST(MessageFaults, CommandsOutliveDrawnAnswers) {
+  spdlog::set_level(spdlog::level::off);
+  TemporaryDirectory directory;
+  EventLoop loop;
+  DrawnBodies bodies(seed());
+  HttpServer server(loop, "127.0.0.1:0", [&](const Request&, const Respond& respond) {
+    respond({200, bodies.draw({{"phase", "running"}, {"version", 1}, {"jobs", Json::array()}})});
+  });
+  std::string address = "127.0.0.1:" + std::to_string(server.port());
+  const std::vector<std::vector<std::string>> commands{
+      {CLI_PATH, "--team", "herbarium", "--member", "ana", "flow", "status", "w-1"},
+      {CLI_PATH, "--team", "herbarium", "--member", "ana", "flow", "list"},
+      {CLI_PATH, "--json", "job", "status", "j-1"},
+      {ADMIN_PATH, "policy", "show"},
+      {ADMIN_PATH, "pool", "show"},
+  };
+  for (const auto& command : commands) {
+    for (std::uint64_t n = 0; n < bodiesPerPath() / 30; ++n) {
+      auto words = command;
+      words.insert(words.begin() + 1, {"--timeout", "1", "--server", address});
+      ChildProcess program(words, directory.path + "/out.log");
+      while (!program.hasEnded()) {
+        loop.after(Duration{10}, [&] { loop.stop(); });
+        loop.run();
+      }
+      EXPECT_EQ(program.waitForEnd().substr(0, 4), "exit")
+          << command[command.size() - 2] << ", seed " << seed();
+    }
+  }
+}
+
 }  // namespace
 }  // namespace kestrelhoist
