Message bodies and queries have modules of their own

base/codec.hpp and base/query.hpp leave base/runtime.hpp with the interfaces of clock, timers and HTTP; their functions are documented one by one. The conversion of durations for libevent stands once. No behaviour changes.

--- a/client/src/job_calls.cpp
+++ b/client/src/job_calls.cpp
@@ -1,5 +1,6 @@
 #include "client/src/job_calls.hpp"
 
+#include "base/query.hpp"
 #include "client/src/job_codec.hpp"
 
 namespace kestrelhoist::client {
--- a/client/src/job_codec.cpp
+++ b/client/src/job_codec.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 
+#include "base/query.hpp"
 #include "members/records.hpp"
 
 namespace kestrelhoist::client {
--- a/src/base/event_loop.cpp
+++ b/src/base/event_loop.cpp
@@ -11,11 +11,6 @@
 namespace kestrelhoist {
 namespace {
 
-timeval toTimeval(Duration d) {
-  auto ms = std::max<std::int64_t>(0, d.count());
-  return {ms / 1000, static_cast<suseconds_t>((ms % 1000) * 1000)};
-}
-
 struct TimerCall {
   std::function<void()> f;
 };
@@ -27,6 +22,11 @@
 
 }  // namespace
 
+timeval toTimeval(Duration duration) {
+  auto ms = std::max<std::int64_t>(0, duration.count());
+  return {ms / 1000, static_cast<suseconds_t>((ms % 1000) * 1000)};
+}
+
 void EventLoop::guarded(const char* where, const std::function<void()>& f) {
   try {
     f();
--- a/src/base/event_loop.hpp
+++ b/src/base/event_loop.hpp
@@ -15,6 +15,9 @@
 
 namespace kestrelhoist {
 
+/// Converts a duration to libevent's form; a negative duration becomes 0.
+timeval toTimeval(Duration duration);
+
 /// Implements Runtime over a libevent loop.
 class EventLoop : public Runtime {
  public:
--- a/src/base/http_client.cpp
+++ b/src/base/http_client.cpp
@@ -22,11 +22,6 @@
 constexpr std::size_t kMaxReplyHeaderBytes = 16UL * 1024;
 constexpr std::size_t kMaxIdlePerAddress = 4;
 
-timeval toTimeval(Duration d) {
-  auto ms = std::max<std::int64_t>(0, d.count());
-  return {ms / 1000, static_cast<suseconds_t>((ms % 1000) * 1000)};
-}
-
 evhttp_cmd_type methodType(const std::string& name) {
   if (name == "POST") return EVHTTP_REQ_POST;
   if (name == "PUT") return EVHTTP_REQ_PUT;
--- a/src/base/message_limits_test.cpp
+++ b/src/base/message_limits_test.cpp
@@ -6,7 +6,7 @@
 
 #include <functional>
 
-#include "base/runtime.hpp"
+#include "base/codec.hpp"
 #include "drawn_bodies.hpp"
 
 namespace kestrelhoist {
--- a/src/base/runtime.hpp
+++ b/src/base/runtime.hpp
@@ -1,20 +1,17 @@
 /// \file
-/// Declares interfaces for the clock, timers and HTTP, and helpers for message bodies. The program
-/// implements the interfaces over libevent, and the tests implement them in virtual time.
+/// Declares interfaces for the clock, timers and HTTP. The program implements them over libevent,
+/// and the tests implement them in virtual time.
 #pragma once
 
 #include <functional>
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 
-#include "base/message_limits.hpp"
+#include "base/codec.hpp"
 #include "base/types.hpp"
 
 namespace kestrelhoist {
 
-using Json = nlohmann::json;
-
 /// Provides the clock and the timers of one process.
 class Runtime {
  public:
@@ -68,34 +65,6 @@
                     OnReply onReply) = 0;
 };
 
-/// Encodes a value as a CBOR body.
-std::string encodeBody(const Json& value);
-/// Decodes a CBOR body; returns nullopt if it is malformed or beyond the limits, and never throws.
-std::optional<Json> decodeBody(const std::string& body,
-                               const MessageLimits& limits = kExternalLimits);
-/// Parses a JSON text, such as settings or a policy. Throws std::runtime_error if it is malformed
-/// or nested more than kExternalLimits.nesting levels deep.
-Json parseJsonText(const std::string& text);
-
-// The following functions read untrusted messages and never throw.
-
-/// Returns a field of an object, or null if it is missing or JSON null.
-const Json* field(const Json& object, const char* name);
-/// Returns the text of a value, or nullopt if it is not a string or not UTF-8.
-std::optional<std::string> textOf(const Json& value);
-/// Returns a field's value, like the three functions below it, or nullopt if it is missing or of
-/// another type.
-std::optional<std::string> textField(const Json& object, const char* name);
-std::optional<std::uint64_t> countField(const Json& object, const char* name);
-std::optional<double> numberField(const Json& object, const char* name);
-std::optional<bool> boolField(const Json& object, const char* name);
-
-/// Returns the decoded value of a parameter in a query such as "a=1&b=x%20y", or an empty text if
-/// the parameter is missing.
-std::string queryValue(const std::string& query, const std::string& name);
-/// Percent-encodes a value for a query.
-std::string queryEscaped(const std::string& value);
-
 /// Returns a response with a CBOR body.
 Response jsonResponse(int status, const Json& body);
 /// Returns a response that asks the client to retry after this many seconds.
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -7,7 +7,7 @@
 #include <valijson/validation_results.hpp>
 #include <valijson/validator.hpp>
 
-#include "base/runtime.hpp"
+#include "base/codec.hpp"
 
 namespace kestrelhoist {
 
--- a/src/flows/service_reads.cpp
+++ b/src/flows/service_reads.cpp
@@ -2,6 +2,7 @@
 // read that starts after the request arrives, except if the requested data is immutable.
 #include <algorithm>
 
+#include "base/query.hpp"
 #include "flows/service.hpp"
 
 namespace kestrelhoist {
--- a/src/members/job_lists.cpp
+++ b/src/members/job_lists.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include "base/query.hpp"
 #include "members/service.hpp"
 
 namespace kestrelhoist {
--- a/src/members/key_service.cpp
+++ b/src/members/key_service.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/log.hpp"
+#include "base/query.hpp"
 #include "members/service.hpp"
 
 namespace kestrelhoist {
--- a/src/members/service.cpp
+++ b/src/members/service.cpp
@@ -5,6 +5,7 @@
 #include <stdexcept>
 
 #include "base/log.hpp"
+#include "base/query.hpp"
 
 namespace kestrelhoist {
 namespace {
--- a/tests/drawn_bodies.hpp
+++ b/tests/drawn_bodies.hpp
@@ -5,7 +5,7 @@
 #include <random>
 #include <string>
 
-#include "base/runtime.hpp"
+#include "base/codec.hpp"
 
 namespace kestrelhoist {
 
