Tests: a controller whose port was taken meanwhile is started again at others

A free port may be taken between its choice and the start of the controller, which then ends at once with one line. Not seen in any run; the test started its controller once and would have failed by that. Up to five attempts now.

--- a/tests/message_faults_test.cpp
+++ b/tests/message_faults_test.cpp
@@ -103,13 +103,7 @@
     spdlog::set_level(spdlog::level::off);
     state_.transactionOps = 24;
     state_.valueBytes = 16 * 1024;
-    addresses_ = {freeAddress(loop_), freeAddress(loop_), addressOf(*peerServer_),
-                  addressOf(*cloudServer_), addressOf(*stateServer_)};
-    std::string settings = directory_.write("node0.toml", controllerSettings(addresses_));
-    std::string operators = directory_.write("operator.json", operatorSettings);
-    process_ = std::make_unique<ChildProcess>(
-        std::vector<std::string>{PROGRAM_PATH, "--config", settings, "--operator", operators},
-        directory_.path + "/node0.log");
+    startController(operatorSettings);
     sendHeartbeats();
   }
 
@@ -151,6 +145,22 @@
     return "127.0.0.1:" + std::to_string(server.port());
   }
 
+  // Another process may take a free port before the controller does, which then ends at once.
+  void startController(const std::string& operatorSettings) {
+    constexpr int kAttempts = 5;
+    constexpr Duration kStartTime{500};
+    std::string operators = directory_.write("operator.json", operatorSettings);
+    for (int attempt = 0; attempt < kAttempts && (!process_ || hasEnded()); ++attempt) {
+      addresses_ = {freeAddress(loop_), freeAddress(loop_), addressOf(*peerServer_),
+                    addressOf(*cloudServer_), addressOf(*stateServer_)};
+      std::string settings = directory_.write("node0.toml", controllerSettings(addresses_));
+      process_ = std::make_unique<ChildProcess>(
+          std::vector<std::string>{PROGRAM_PATH, "--config", settings, "--operator", operators},
+          directory_.path + "/node0.log");
+      runFor(kStartTime);
+    }
+  }
+
   std::unique_ptr<HttpServer> serve(Handler handler) {
     return std::make_unique<HttpServer>(
         loop_, "127.0.0.1:0",
