--- a/simulator/model/simulated_region.hpp
+++ b/simulator/model/simulated_region.hpp
@@ -159,9 +159,6 @@
   void setCapacity(bool spot, int perZone);
   /// Returns the rented time of all machines so far, in seconds.
   double machineSeconds() const;
-  /// Answers 400 if a field is missing or of another type.
-  Response answerCloud(const Request& q);
-  Response cloud(const Request& q);
 
   RegionSettings settings;
   Clock& clock;
@@ -182,6 +179,10 @@
     std::string phase = "booting";
     std::int64_t rentalEndedAtMs = -1;
   };
+  /// Answers a request to the cloud with 400 if a field is missing or of another type.
+  Response answerCloud(const Request& q);
+  /// Throws Json::exception in this case.
+  Response cloud(const Request& q);
   bool listedAsFailed(const std::string& host, std::int64_t at) const;
   std::map<std::string, Host> hosts_;
   std::map<std::string, Json> rentals_;
--- a/src/base/codec.cpp
+++ b/src/base/codec.cpp
@@ -18,7 +18,7 @@
   return value;
 }
 
-Json parseJsonText(const std::string& text) {
+Json parseJsonText(const std::string& text, const std::string& source) {
   bool tooDeep = false;
   // The parser itself takes no stack for nested values, but whatever copies or prints them does.
   auto isWithinLimit = [&tooDeep](int levelsAround, Json::parse_event_t event, const Json&) {
@@ -28,8 +28,8 @@
     return !tooDeep;
   };
   Json value = Json::parse(text, isWithinLimit, false);
-  if (tooDeep) throw std::runtime_error("is nested too deeply");
-  if (value.is_discarded()) throw std::runtime_error("is not JSON");
+  if (tooDeep) throw std::runtime_error(source + ": is nested too deeply");
+  if (value.is_discarded()) throw std::runtime_error(source + ": is not JSON");
   return value;
 }
 
--- a/src/base/codec.hpp
+++ b/src/base/codec.hpp
@@ -19,9 +19,10 @@
 /// Decodes a CBOR body; returns nullopt if it is malformed or beyond the limits, and never throws.
 std::optional<Json> decodeBody(const std::string& body,
                                const MessageLimits& limits = kExternalLimits);
-/// Parses a JSON text, such as settings or a policy. Throws std::runtime_error if it is malformed
-/// or nested more than kExternalLimits.nesting levels deep.
-Json parseJsonText(const std::string& text);
+/// Parses a JSON text, such as settings or a policy. Throws std::runtime_error with one line that
+/// begins with `source` if the text is malformed or nested more than kExternalLimits.nesting levels
+/// deep.
+Json parseJsonText(const std::string& text, const std::string& source);
 
 // The following functions read untrusted messages and never throw.
 
--- a/src/base/http.hpp
+++ b/src/base/http.hpp
@@ -22,6 +22,9 @@
 class TlsClient;
 class TlsServer;
 
+/// Limits the headers of a request or an answer.
+inline constexpr std::size_t kMaxHeaderBytes = 16UL * 1024;
+
 /// Sets limits on the connections of a server. The system assigns the lowest free socket number, so
 /// a high number means that many sockets are open.
 struct ServerLimits {
--- a/src/base/http_client.cpp
+++ b/src/base/http_client.cpp
@@ -19,7 +19,6 @@
 
 // The limit is large because the answers of the change feed are not limited by the protocol.
 constexpr std::size_t kMaxReplyBytes = 16UL * 1024 * 1024;
-constexpr std::size_t kMaxReplyHeaderBytes = 16UL * 1024;
 constexpr std::size_t kMaxIdlePerAddress = 4;
 
 evhttp_cmd_type methodType(const std::string& name) {
@@ -96,8 +95,7 @@
     evhttp_connection_set_retries(connection, 0);
     evhttp_connection_set_family(connection, AF_INET);
     evhttp_connection_set_max_body_size(connection, static_cast<ev_ssize_t>(kMaxReplyBytes));
-    evhttp_connection_set_max_headers_size(connection,
-                                           static_cast<ev_ssize_t>(kMaxReplyHeaderBytes));
+    evhttp_connection_set_max_headers_size(connection, static_cast<ev_ssize_t>(kMaxHeaderBytes));
   }
   timeval connectionTimeout = toTimeval(timeout + Duration{2000});
   evhttp_connection_set_timeout_tv(connection, &connectionTimeout);
--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -87,7 +87,7 @@
                                         EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD | EVHTTP_REQ_PATCH |
                                         EVHTTP_REQ_OPTIONS);
   evhttp_set_max_body_size(http_, kHardMaxBodyBytes);
-  evhttp_set_max_headers_size(http_, 16 * 1024);
+  evhttp_set_max_headers_size(http_, static_cast<ev_ssize_t>(kMaxHeaderBytes));
   evhttp_set_timeout(http_, static_cast<int>(limits_.idleTimeout.count() / 1000));
   if (tls_ || limits_.requestTimeout.count() > 0) evhttp_set_bevcb(http_, onConnection, this);
   evhttp_set_gencb(http_, onRequest, this);
--- a/src/base/message_limits_test.cpp
+++ b/src/base/message_limits_test.cpp
@@ -12,8 +12,6 @@
 namespace kestrelhoist {
 namespace {
 
-constexpr std::size_t kMaxBodyBytes = 64 * 1024;
-
 std::string repeated(const std::string& part, std::size_t count) {
   std::string out;
   while (count-- > 0) out += part;
@@ -61,10 +59,11 @@
   constexpr std::size_t kStackBytes = 1024 * 1024;
   runOnStack(kStackBytes, [] {
     for (char opener : {'\x7f', '\x5f', '\x81', '\x9f', '\xc6', '\xbf'}) {
-      EXPECT_FALSE(decodeBody(std::string(kMaxBodyBytes, opener), kInternalLimits));
+      EXPECT_FALSE(decodeBody(std::string(DrawnBodies::kMaxBytes, opener), kInternalLimits));
     }
     for (const auto& nesting : kNestings) {
-      EXPECT_FALSE(decodeBody(nesting.body(kMaxBodyBytes / 8), kInternalLimits)) << nesting.name;
+      EXPECT_FALSE(decodeBody(nesting.body(DrawnBodies::kMaxBytes / 8), kInternalLimits))
+          << nesting.name;
     }
   });
 }
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -32,12 +32,7 @@
 
 nlohmann::json parseChecked(const std::string& text, const std::string& file,
                             const char* schemaText) {
-  nlohmann::json value;
-  try {
-    value = parseJsonText(text);
-  } catch (const std::runtime_error& e) {
-    throw std::runtime_error(file + ": " + e.what());
-  }
+  nlohmann::json value = parseJsonText(text, file);
   if (auto error = findViolation(value, schemaText)) {
     std::string line = file + ":";
     for (const auto& part : error->context) line += " " + part;
--- a/src/policy/document.cpp
+++ b/src/policy/document.cpp
@@ -151,13 +151,7 @@
                      [&](const Selector& s) { return s.matches(spec); });
 }
 
-Json parseDocument(const std::string& text) {
-  try {
-    return parseJsonText(text);
-  } catch (const std::runtime_error& e) {
-    throwInvalid("/", e.what());
-  }
-}
+Json parseDocument(const std::string& text) { return parseJsonText(text, "/"); }
 
 std::shared_ptr<const Policy> parsePolicy(const Json& document) {
   if (auto why = schemaViolation(document, kPolicySchema)) throw std::runtime_error(*why);
--- a/tests/message_faults_test.cpp
+++ b/tests/message_faults_test.cpp
@@ -6,6 +6,7 @@
 
 #include "base/log.hpp"
 #include "child_process.hpp"
+#include "config/platform.hpp"
 #include "drawn_bodies.hpp"
 #include "members_simulator.hpp"
 #include "simulator/host/loop_seams.hpp"
@@ -26,6 +27,18 @@
 
 constexpr Duration kAnswerTimeout{5000};
 
+// Sends a request and runs the loop until it is over. Returns the status of the answer, or 0 if
+// none arrives.
+int askAndWait(EventLoop& loop, HttpClient& client, const std::string& address, Request request) {
+  int status = 0;
+  client.send(address, std::move(request), kAnswerTimeout, [&](std::optional<Response> r) {
+    status = r ? r->status : 0;
+    loop.stop();
+  });
+  loop.run();
+  return status;
+}
+
 Json soundJob(int number) {
   return {{"ref", "j-" + std::to_string(number)},
           {"lane", "train"},
@@ -119,15 +132,8 @@
     loop_.run();
   }
 
-  // Returns the status of the answer, or 0 if none arrives.
   int ask(const std::string& address, Request request) {
-    int status = 0;
-    client_.send(address, std::move(request), kAnswerTimeout, [&](std::optional<Response> r) {
-      status = r ? r->status : 0;
-      loop_.stop();
-    });
-    loop_.run();
-    return status;
+    return askAndWait(loop_, client_, address, std::move(request));
   }
 
   // Submits a sound job, repeatedly if necessary, and returns whether it is accepted.
@@ -303,13 +309,9 @@
   TemporaryDirectory directory;
   RegionProcess region(directory.path, directory.write("operator.json", "{}"), {});
   ASSERT_FALSE(region.servers.empty());
-  std::ifstream settings(directory.path + "/node0.toml");
-  std::string state, cloud;
-  for (std::string line; std::getline(settings, line);) {
-    std::string value = line.substr(line.find('"') + 1, line.rfind('"') - line.find('"') - 1);
-    if (line.starts_with("state = ")) state = value;
-    if (line.starts_with("cloud = ")) cloud = value;
-  }
+  const Platform platform = loadPlatform(directory.path + "/node0.toml");
+  const std::string& state = platform.stateAddress;
+  const std::string& cloud = platform.cloudAddress;
   EventLoop loop;
   EvHttpClient client(loop, 8);
   DrawnBodies bodies(seed());
@@ -328,13 +330,7 @@
   for (const auto& path : paths) {
     for (std::uint64_t n = 0; n < bodiesPerPath(); ++n) {
       std::string body = n % 4 == 0 ? bodies.drawUnusable() : bodies.draw(path.sound);
-      int status = 0;
-      client.send(path.address, {"POST", path.path, body}, kAnswerTimeout,
-                  [&](std::optional<Response> r) {
-                    status = r ? r->status : 0;
-                    loop.stop();
-                  });
-      loop.run();
+      int status = askAndWait(loop, client, path.address, {"POST", path.path, body});
       ASSERT_NE(status, 0) << path.path << ", body " << n << " of seed " << seed();
       if (n % 4 == 0) {
         ASSERT_EQ(status, 400) << path.path << ", body " << n << " of seed " << seed();
--- a/tests/policy_loopback_test.cpp
+++ b/tests/policy_loopback_test.cpp
@@ -5,6 +5,7 @@
 #include <filesystem>
 #include <fstream>
 
+#include "config/platform.hpp"
 #include "simulator_process.hpp"
 
 namespace kestrelhoist {
@@ -32,12 +33,8 @@
   std::string admin(const std::string& words, int* code) {
     std::string servers;
     for (std::size_t i = 0; i < region.servers.size(); ++i) {
-      std::ifstream in(directory + "/node" + std::to_string(i) + ".toml");
-      for (std::string line; std::getline(in, line);) {
-        if (!line.starts_with("mesh_addr = ")) continue;
-        auto from = line.find('"') + 1;
-        servers += (servers.empty() ? "" : ",") + line.substr(from, line.rfind('"') - from);
-      }
+      Platform platform = loadPlatform(directory + "/node" + std::to_string(i) + ".toml");
+      servers += (servers.empty() ? "" : ",") + platform.meshAddress;
     }
     std::string command =
         std::string(ADMIN_PATH) + " --timeout 20 --server " + servers + " " + words + " 2>&1";
