--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -57,7 +57,8 @@
       leaseLog_(platform),
       zoneAcks_(platform, runtime.now()),
       store_(runtime, stateProxy_, platform.stateAddress,
-             platform.stateRequestsPerS / static_cast<double>(platform.controllerCount())),
+             platform.stateRequestsPerS / static_cast<double>(platform.controllerCount()),
+             CommitLimits({platform.transactionOps, platform.valueBytes}, platform.valueBytesNow)),
       cloud_(runtime, cloudProxy_, platform.cloudAddress, platform.cloudRequestsPerS * 0.9),
       versions_(platform),
       versionWriter_(runtime, store_, replica_, versions_, platform.member),
@@ -82,6 +83,7 @@
                                              settings_.members, jobs_, flows_, metrics_.get(),
                                              std::hash<std::string>{}(incarnation));
   store_.onCommitOutcome = [this](CommitOutcome o) { metrics_->committed(toString(o), leads()); };
+  store_.limits().onSetAside = [this] { metrics_->writeSetAside(); };
   metrics_->gauges = [this] {
     MetricGauges g;
     members_->fill(g);
--- a/src/app/leader.cpp
+++ b/src/app/leader.cpp
@@ -14,7 +14,7 @@
 constexpr double kLeaderWriteShare = 0.7;  // The rest is reserved for users' requests.
 constexpr Duration kCommitTimeout{1500};
 constexpr Duration kRetryDelay{200};
-constexpr Duration kRejectedRetryDelay{1000};
+constexpr Duration kRejectedRetryDelay{200};
 // Workers count as reachable if a request sent within this time has reached one of them.
 constexpr Duration kWorkersReachableWithin{3000};
 // These fields of the forecast record hold the suspected zones and the suspect jobs.
@@ -225,7 +225,8 @@
     case CommitOutcome::rejected:
     case CommitOutcome::noLease:
       logError("commit rejected", "what", sent->commit.what);
-      // An earlier send may have been applied before the state service lowered its limits.
+      // An earlier send may have been applied before the state service lowered its limits. The next
+      // commit differs from this one, see CommitLimits.
       context_.runtime.after(kRejectedRetryDelay,
                              context_.whileLeading([this, sent] { rereadRecords(sent); }));
       return;
--- a/src/cloud/forecast_loop.cpp
+++ b/src/cloud/forecast_loop.cpp
@@ -20,22 +20,23 @@
 }
 
 LoopStep ForecastLoop::next() {
-  Transaction t = context_.begin();
+  TransactionBuilder builder = context_.beginBounded();
   auto set = [&](const std::string& key, Json value) {
-    t.compares.push_back({key, context_.replica.modRevisionOf(key)});
-    t.writes.push_back({key, std::move(value), std::nullopt});
+    return builder.add(
+        {{{key, context_.replica.modRevisionOf(key)}}, {{key, std::move(value), std::nullopt}}});
   };
   if (context_.catalogue && !context_.replica.catalogue())
     set(keys::kCatalogue, kestrelhoist::toJson(*context_.catalogue));
-  if (recordOutdated_) {
-    const auto& suspected = fleet_.lastSuspectedZones();
-    set(keys::kForecast, recordWithinLimit(context_.platform.valueBytes, suspected));
+  const auto& suspected = fleet_.lastSuspectedZones();
+  if (recordOutdated_ &&
+      set(keys::kForecast, recordWithinLimit(context_.platform.valueBytes, suspected)) !=
+          TransactionBuilder::Result::full) {
     recordedSuspectedZones_.clear();
     for (const auto& [zone, at] : suspected) recordedSuspectedZones_.insert(zone);
     recordOutdated_ = false;
   }
-  if (t.writes.empty()) return LoopStep::idle();
-  return LoopStep::committing(Commit{std::move(t), nullptr, "types or forecast"});
+  if (builder.empty()) return LoopStep::idle();
+  return LoopStep::committing(Commit{builder.take(), nullptr, "types or forecast"});
 }
 
 bool ForecastLoop::suspectedZonesChanged() const {
@@ -79,7 +80,7 @@
                                      const std::map<ZoneId, Instant>& suspected) const {
   Json value = toJson(suspected);
   for (const char* list : {"suspect", "types"}) {
-    while (value.dump().size() >= bytes && !value[list].empty()) {
+    while (jsonBytes(value) > bytes && !value[list].empty()) {
       Json& entries = value[list];
       std::size_t keep = entries.size() / 2;
       while (entries.size() > keep) entries.erase(std::prev(entries.end()));
--- a/src/cloud/scaling_loop_rentals.cpp
+++ b/src/cloud/scaling_loop_rentals.cpp
@@ -14,28 +14,31 @@
 /// Collects the rental records that one commit writes, within the limits of a transaction.
 class RentalTransaction {
  public:
+  using Result = TransactionBuilder::Result;
+
   explicit RentalTransaction(LeaderContext& context)
-      : context_(context), transaction_(context.begin()) {}
+      : context_(context), builder_(context.beginBounded()) {}
 
-  /// Writes a record, or deletes it if `value` is empty.
-  void write(const RentalId& id, std::optional<Json> value) {
-    std::string key = keys::rental(id);
-    transaction_.compares.push_back({key, context_.replica.modRevisionOf(key)});
-    transaction_.writes.push_back({key, std::move(value), std::nullopt});
-  }
-  void countBytes(std::size_t bytes) { bytes_ += bytes; }
-  bool full() const {
-    return transaction_.writes.size() >= context_.platform.transactionOps ||
-           bytes_ > kMaxTransactionBytes;
+  /// Writes a record, or deletes it if it names no machine although the cloud has answered. Leaves
+  /// out machines that do not fit into the record; they are adopted when they report.
+  Result write(RentalRecord record) {
+    const std::size_t limit = context_.store.limits().limits().valueBytes;
+    while (!record.machines.empty() && jsonBytes(toJson(record)) > limit) {
+      logInfo("machine left out of its rental's record", "machine", record.machines.back().id);
+      record.machines.pop_back();
+    }
+    const std::string key = keys::rental(record.id);
+    std::optional<Json> value;
+    if (!record.answered || !record.machines.empty()) value = toJson(record);
+    return builder_.add(
+        {{{key, context_.replica.modRevisionOf(key)}}, {{key, std::move(value), std::nullopt}}});
   }
-  bool empty() const { return transaction_.writes.empty(); }
-  Transaction take() { return std::move(transaction_); }
+  bool empty() const { return builder_.empty(); }
+  Transaction take() { return builder_.take(); }
 
  private:
   LeaderContext& context_;
-  Transaction transaction_;
-  std::size_t bytes_ =
-      1024;  // Includes an allowance for the parts of the records that are not counted.
+  TransactionBuilder builder_;
 };
 
 LoopStep ScalingLoop::next() {
@@ -64,19 +67,21 @@
 std::vector<RentalId> ScalingLoop::recordResults(RentalTransaction& transaction) {
   std::vector<RentalId> ended;
   for (const auto& [id, result] : uncommittedResults_) {
-    if (transaction.full()) break;
-    ended.push_back(id);
     auto rental = context_.replica.rentals().find(id);
-    if (rental == context_.replica.rentals().end()) continue;
+    if (rental == context_.replica.rentals().end()) {
+      ended.push_back(id);
+      continue;
+    }
     RentalRecord record = rental->second;
     record.answered = true;
     for (const auto& machine : result.machines) {
-      transaction.countBytes(machine.value.size() + 4);
       const auto* known = context_.replica.machine(machine);
       if ((known && !known->rental.empty()) || fleet_.isTerminated(machine)) continue;
       record.machines.push_back({machine, false});
     }
-    transaction.write(id, record.machines.empty() ? std::nullopt : std::optional(toJson(record)));
+    const auto written = transaction.write(std::move(record));
+    if (written == RentalTransaction::Result::full) break;
+    if (written == RentalTransaction::Result::added) ended.push_back(id);
   }
   return ended;
 }
@@ -88,7 +93,6 @@
   for (const auto& id : fleet_.unrecorded()) adoptMachine(id, false, adopted);
   for (const auto& id : fleet_.terminating()) adoptMachine(id, true, adopted);
   for (auto& [offering, record] : adopted) {
-    if (transaction.full()) break;
     record.id = nextRentalId("a-");
     record.type = offering.type;
     record.zone = offering.zone;
@@ -96,9 +100,9 @@
     record.count = static_cast<std::uint32_t>(record.machines.size());
     record.requestedAtMs = context_.runtime.wallMillis();
     record.answered = true;
-    logInfo("machines without a rental record adopted", "count", record.count, "zone",
-            offering.zone);
-    transaction.write(record.id, toJson(record));
+    const std::uint32_t count = record.count;
+    if (transaction.write(std::move(record)) != RentalTransaction::Result::added) break;
+    logInfo("machines without a rental record adopted", "count", count, "zone", offering.zone);
   }
 }
 
@@ -131,7 +135,7 @@
   }
   const auto limit = static_cast<std::size_t>(std::max(1.0, context_.platform.cloudRequestsPerS));
   std::size_t written = 0;
-  while (!machinesToRent_.empty() && pending + written < limit && !transaction.full()) {
+  while (!machinesToRent_.empty() && pending + written < limit) {
     // On-demand machines come first, because firm work can use no others. Among offerings of one
     // market, the one with the most machines comes first.
     auto next = std::max_element(machinesToRent_.begin(), machinesToRent_.end(),
@@ -149,7 +153,7 @@
                         context_.runtime.wallMillis(),
                         false,
                         {}};
-    transaction.write(record.id, toJson(record));
+    if (transaction.write(std::move(record)) != RentalTransaction::Result::added) break;
     ++written;
     next->second -= count;
     if (next->second == 0) machinesToRent_.erase(next);
--- a/src/cloud/termination_loop.cpp
+++ b/src/cloud/termination_loop.cpp
@@ -9,70 +9,85 @@
 namespace {
 constexpr Duration kRetryDelay{1000};
 
-// Collects the changed rental records of one commit. All machines of a rental share one write.
+// Collects the changes of rental records that terminations need. All machines of a rental share one
+// write.
 class RentalDrafts {
  public:
   explicit RentalDrafts(const LeaderContext& context) : context_(context) {}
 
-  // Returns the draft of a record. The result is null if the record does not exist or the
-  // transaction is full.
-  RentalRecord* find(const RentalId& id) {
+  // Holds a record as the commit will write it, with the machines whose entries change.
+  struct Draft {
+    RentalRecord record;
+    std::vector<MachineId> removed;
+    std::size_t marked = 0;
+  };
+
+  // Returns the draft of a record, or null if the record does not exist.
+  Draft* find(const RentalId& id) {
     auto rental = context_.replica.rentals().find(id);
     if (rental == context_.replica.rentals().end()) return nullptr;
-    if (!drafts_.contains(id) && drafts_.size() >= context_.platform.transactionOps) return nullptr;
-    return &drafts_.try_emplace(id, rental->second).first->second;
+    auto [draft, isNew] = drafts_.try_emplace(id, Draft{rental->second, {}});
+    if (isNew) order_.push_back(id);
+    return &draft->second;
   }
-  bool empty() const { return drafts_.empty(); }
-  void addTo(Transaction& transaction) const {
-    for (const auto& [id, draft] : drafts_) {
-      std::string key = keys::rental(id);
-      transaction.compares.push_back({key, context_.replica.modRevisionOf(key)});
-      transaction.writes.push_back(
-          {key, draft.machines.empty() ? std::nullopt : std::optional(toJson(draft)),
-           std::nullopt});
+
+  // Adds drafts to the transaction, the first ones first, until it is full. Returns those that it
+  // has now.
+  std::vector<const Draft*> addTo(TransactionBuilder& builder) const {
+    std::vector<const Draft*> added;
+    for (const auto& id : order_) {
+      const Draft& draft = drafts_.at(id);
+      const std::string key = keys::rental(id);
+      std::optional<Json> value;
+      if (!draft.record.machines.empty()) value = toJson(draft.record);
+      auto result = builder.add(
+          {{{key, context_.replica.modRevisionOf(key)}}, {{key, std::move(value), std::nullopt}}});
+      if (result == TransactionBuilder::Result::full) break;
+      if (result == TransactionBuilder::Result::added) added.push_back(&draft);
     }
+    return added;
   }
 
  private:
   const LeaderContext& context_;
-  std::map<RentalId, RentalRecord> drafts_;
+  std::map<RentalId, Draft> drafts_;
+  std::vector<RentalId> order_;
 };
 
 // Removes the entries of terminated machines that have no task on record. Returns the terminated
-// machines that have no entry any more.
+// machines that have no entry.
 std::vector<MachineId> removeTerminated(const LeaderContext& context,
                                         const std::set<MachineId>& terminated,
                                         RentalDrafts& drafts) {
-  std::vector<MachineId> removed;
+  std::vector<MachineId> withoutEntry;
   for (const auto& id : terminated) {
     const auto* state = context.replica.machine(id);
     if (!state) {
-      removed.push_back(id);
+      withoutEntry.push_back(id);
     } else if (state->tasks.empty()) {
       if (auto* draft = drafts.find(state->rental)) {
-        std::erase_if(draft->machines, [&](const auto& machine) { return machine.id == id; });
-        removed.push_back(id);
+        std::erase_if(draft->record.machines,
+                      [&](const auto& machine) { return machine.id == id; });
+        draft->removed.push_back(id);
       }
     }
   }
-  return removed;
+  return withoutEntry;
 }
 
-// Marks machines as draining, so that they get no more tasks. Returns the number of new marks.
-std::size_t markDraining(const LeaderContext& context, const Fleet& fleet,
-                         const std::set<MachineId>& terminated, RentalDrafts& drafts) {
-  std::size_t marked = 0;
+// Marks machines as draining, so that they get no more tasks.
+void markDraining(const LeaderContext& context, const Fleet& fleet,
+                  const std::set<MachineId>& terminated, RentalDrafts& drafts) {
   for (const auto& id : fleet.terminating()) {
     const auto* state = context.replica.machine(id);
     if (!state || state->draining || terminated.contains(id)) continue;
     if (auto* draft = drafts.find(state->rental)) {
-      for (auto& machine : draft->machines) {
+      for (auto& machine : draft->record.machines) {
         machine.draining = machine.draining || machine.id == id;
       }
-      ++marked;
+      ++draft->marked;
     }
   }
-  return marked;
 }
 
 }  // namespace
@@ -82,18 +97,22 @@
 LoopStep TerminationLoop::next() {
   RentalDrafts drafts(context_);
   std::vector<MachineId> removed = removeTerminated(context_, terminated_, drafts);
-  const std::size_t marked = markDraining(context_, fleet_, terminated_, drafts);
+  markDraining(context_, fleet_, terminated_, drafts);
+  TransactionBuilder builder = context_.beginBounded();
+  std::size_t marked = 0;
+  for (const auto* draft : drafts.addTo(builder)) {
+    removed.insert(removed.end(), draft->removed.begin(), draft->removed.end());
+    marked += draft->marked;
+  }
   auto forget = [this, removed] {
     for (const auto& id : removed) terminated_.erase(id);
   };
-  if (drafts.empty()) {
+  if (builder.empty()) {
     forget();
     return LoopStep::idle();
   }
-  Transaction transaction = context_.begin();
-  drafts.addTo(transaction);
   return LoopStep::committing(Commit{
-      std::move(transaction),
+      builder.take(),
       [this, forget] {
         forget();
         requestTerminations();
--- a/src/flows/flow_loop.cpp
+++ b/src/flows/flow_loop.cpp
@@ -194,14 +194,13 @@
 // Removes task sub-chunks whose job record is already removed. The sub-chunks and the end of the
 // job may not fit in one transaction. Removing them later is safe because job ids are never reused.
 std::optional<Commit> FlowLoop::removeOrphanSubChunks() const {
-  Transaction t = context_.begin();
+  TransactionBuilder builder = context_.beginBounded();
   for (const auto& [key, modRevision] : context_.replica.orphanSubChunks()) {
-    if (t.writes.size() == context_.platform.transactionOps) break;
-    t.compares.push_back({key, modRevision});
-    t.writes.push_back({key, std::nullopt, std::nullopt});
+    auto result = builder.add({{{key, modRevision}}, {{key, std::nullopt, std::nullopt}}});
+    if (result == TransactionBuilder::Result::full) break;
   }
-  if (t.writes.empty()) return std::nullopt;
-  return Commit{std::move(t), nullptr, "parts of ended jobs"};
+  if (builder.empty()) return std::nullopt;
+  return Commit{builder.take(), nullptr, "parts of ended jobs"};
 }
 
 std::optional<Commit> FlowLoop::nextCommit(const FlowId& id, const FlowState& flow) {
@@ -230,7 +229,7 @@
 // Ends a job: removes the record and the task chunks of the job, adds its use to the account of the
 // rule, and writes the final states of its instances. All of this happens in one transaction, so
 // the use is counted exactly once.
-void FlowLoop::endJob(TransactionBuilder& builder, const FlowState& flow, const JobId& id,
+void FlowLoop::endJob(FlowTransaction& builder, const FlowState& flow, const JobId& id,
                       const JobState& job, const OpenJob* open, Run* run) {
   ResourceUse use = job.flow->use();
   for (const auto& [chunk, s] : job.flow->chunks) {
@@ -253,7 +252,7 @@
   }
 }
 
-void FlowLoop::createJob(TransactionBuilder& builder, const FlowId& id, const FlowState& flow,
+void FlowLoop::createJob(FlowTransaction& builder, const FlowId& id, const FlowState& flow,
                          Run& run, std::uint32_t rule, const std::vector<Instance>& instances) {
   const FlowRule& r = flow.version(run.graph)->graph.rules()[rule];
   FlowTaskMapping part;
@@ -318,20 +317,18 @@
   if (!createJobs && !over && (ended == 0 || now - firstEndedAt < kMaxEndedJobDelay))
     return std::nullopt;
 
-  TransactionBuilder builder(context_, id, flow, version, run.graph);
+  FlowTransaction builder(context_, id, flow, version, run.graph);
   // The transaction compares the revision of the head, so it fails if an amendment or a
   // cancellation has been committed in the meantime.
   std::size_t endedNow = 0, createdNow = 0, instances = 0;
   for (auto& [jobId, open] : run.jobs) {
     const auto* job = context_.replica.job(jobId);
     if (!open.unfinishedTasks.empty() || !canEnd(*job)) continue;
-    TransactionBuilder before = builder;
-    endJob(builder, flow, jobId, *job, &open, &run);
-    if (!builder.fits()) {
-      builder = std::move(before);
-      break;
-    }
-    ++endedNow;
+    auto result = builder.add([&, &job = *job, &jobId = jobId, &open = open](FlowTransaction& t) {
+      endJob(t, flow, jobId, job, &open, &run);
+    });
+    if (result == FlowTransaction::Result::full) break;
+    if (result == FlowTransaction::Result::added) ++endedNow;
   }
   if (createJobs) {
     std::vector<std::uint32_t> rules;
@@ -356,12 +353,10 @@
           pages += newPage ? 1 : 0;
           batch.push_back(ready[from]);
         }
-        TransactionBuilder before = builder;
-        createJob(builder, id, flow, run, rule, batch);
-        if (!builder.fits()) {
-          builder = std::move(before);
-          full = true;
-        } else {
+        auto result =
+            builder.add([&](FlowTransaction& t) { createJob(t, id, flow, run, rule, batch); });
+        full = result == FlowTransaction::Result::full;
+        if (result == FlowTransaction::Result::added) {
           ++createdNow;
           instances += batch.size();
         }
@@ -375,11 +370,8 @@
     head.failed = run.progress.count(Progress::State::failed);
     head.skipped = run.progress.count(Progress::State::skipped);
     head.phase = head.failed > 0 ? FlowPhase::failed : FlowPhase::done;
-    TransactionBuilder before = builder;
-    builder.endFlow(head);
-    if (!builder.fits()) {
-      builder = std::move(before);
-    } else {
+    auto result = builder.add([&](FlowTransaction& t) { t.endFlow(head); });
+    if (result == FlowTransaction::Result::added) {
       logInfo("flow ended", "flow", id, "done", head.done, "failed", head.failed, "skipped",
               head.skipped);
     }
--- a/src/flows/flow_loop.hpp
+++ b/src/flows/flow_loop.hpp
@@ -47,7 +47,7 @@
     /// Counts the changes that this leader has written for the flow.
     std::size_t changes = 0;
   };
-  class TransactionBuilder;
+  class FlowTransaction;
 
   void applyJobChange(const FlowId& id, const JobId& job);
   std::optional<Run> buildRun(const FlowState& flow, const Digest& graph) const;
@@ -62,9 +62,9 @@
   std::optional<Commit> endCancelledFlow(const FlowId& id, const FlowState& flow);
   std::optional<Commit> removeUnusedVersion(const FlowId& id, const FlowState& flow);
   std::optional<Commit> removeOrphanSubChunks() const;
-  void endJob(TransactionBuilder& builder, const FlowState& flow, const JobId& id,
-              const JobState& job, const OpenJob* open, Run* run);
-  void createJob(TransactionBuilder& builder, const FlowId& id, const FlowState& flow, Run& run,
+  void endJob(FlowTransaction& builder, const FlowState& flow, const JobId& id, const JobState& job,
+              const OpenJob* open, Run* run);
+  void createJob(FlowTransaction& builder, const FlowId& id, const FlowState& flow, Run& run,
                  std::uint32_t rule, const std::vector<Instance>& instances);
   bool canEnd(const JobState& job) const;
   /// Returns the maximum number of pages that the instances of one job may span. The transaction
--- a/src/flows/flow_loop_versions.cpp
+++ b/src/flows/flow_loop_versions.cpp
@@ -33,9 +33,9 @@
         it != instanceByFingerprint.end())
       letters[it->second] = 'd';
   }
-  TransactionBuilder builder(context_, id, flow, *target, flow.head->graph);
+  FlowTransaction builder(context_, id, flow, *target, flow.head->graph);
   std::size_t dropped = 0, jobs = 0;
-  bool full = false;
+  bool full = false, unwritable = false;
   for (const auto& [jobId, open] : old->jobs) {
     const auto* job = context_.replica.job(jobId);
     std::vector<std::uint32_t> unwanted;
@@ -58,13 +58,12 @@
     part.dropped.insert(part.dropped.end(), unwanted.begin(), unwanted.end());
     std::sort(part.dropped.begin(), part.dropped.end());
     record.flow = std::make_shared<const FlowTaskMapping>(std::move(part));
-    TransactionBuilder before = builder;
-    builder.set(keys::job(jobId), toJson(record), job->modRevision);
-    if (!builder.fits()) {
-      builder = std::move(before);
-      full = true;
-      continue;
-    }
+    auto result = builder.add([&, &jobId = jobId](FlowTransaction& t) {
+      t.set(keys::job(jobId), toJson(record), job->modRevision);
+    });
+    full = result == FlowTransaction::Result::full;
+    unwritable = unwritable || result == FlowTransaction::Result::unwritable;
+    if (result != FlowTransaction::Result::added) continue;
     dropped += unwanted.size();
     ++jobs;
   }
@@ -72,6 +71,8 @@
     return Commit{builder.finish(), [this] { tasks_.sendStops(); },
                   "flow " + id.value + ": " + std::to_string(dropped) + " tasks no longer wanted"};
   }
+  // The amendment must not be completed while a task that it drops may still run.
+  if (unwritable) return std::nullopt;
   for (std::uint32_t page = 0; page * kPageSize < letters.size(); ++page) {
     std::string states = letters.substr(page * kPageSize, kPageSize);
     auto known = target->pages.find(page);
@@ -79,51 +80,45 @@
                                      : known->second == states) {
       continue;
     }
-    TransactionBuilder before = builder;
-    for (std::size_t k = 0; k < states.size(); ++k) {
-      builder.setState(static_cast<Instance>(page * kPageSize + k), states[k]);
-    }
-    if (!builder.fits()) {
-      builder = std::move(before);
-      break;
-    }
+    auto result = builder.add([&](FlowTransaction& t) {
+      for (std::size_t k = 0; k < states.size(); ++k) {
+        t.setState(static_cast<Instance>(page * kPageSize + k), states[k]);
+      }
+    });
+    if (result == FlowTransaction::Result::full) break;
+    unwritable = unwritable || result == FlowTransaction::Result::unwritable;
   }
   if (!builder.empty()) {
     return Commit{builder.finish(), nullptr, "flow " + id.value + ": states of the new version"};
   }
+  if (unwritable) return std::nullopt;
   FlowHead head = *flow.head;
   head.from = Digest{};
-  Transaction t = context_.begin();
-  t.compares.push_back({keys::flow(id), flow.modRevision});
-  t.writes.push_back({keys::flow(id), toJson(head), std::nullopt});
+  TransactionBuilder lastStep = context_.beginBounded();
+  lastStep.add({{{keys::flow(id), flow.modRevision}}, {{keys::flow(id), toJson(head), {}}}});
+  if (lastStep.empty()) return std::nullopt;
   logInfo("flow amendment completed", "flow", id, "version", head.version);
-  return Commit{std::move(t), nullptr, "flow " + id.value + ": changed"};
+  return Commit{lastStep.take(), nullptr, "flow " + id.value + ": changed"};
 }
 
 // Cancels the jobs of a cancelled flow, and ends each of them when its tasks have stopped.
 std::optional<Commit> FlowLoop::endCancelledFlow(const FlowId& id, const FlowState& flow) {
   const FlowVersion* version = flow.version(flow.head->graph);
-  TransactionBuilder builder(context_, id, flow, version ? *version : kNoVersion, flow.head->graph);
+  FlowTransaction builder(context_, id, flow, version ? *version : kNoVersion, flow.head->graph);
   std::size_t cancelled = 0, ended = 0;
   for (const auto& jobId : flow.jobs) {
     const auto* job = context_.replica.job(jobId);
     if (!job) continue;
-    TransactionBuilder before = builder;
-    if (job->active()) {
+    const bool active = job->active();
+    if (!active && !job->placed.empty()) continue;
+    auto result = builder.add([&](FlowTransaction& t) {
+      if (!active) return endJob(t, flow, jobId, *job, nullptr, nullptr);
       JobRecord record = job->record;
       record.phase = JobPhase::cancelled;
-      builder.set(keys::job(jobId), toJson(record), job->modRevision);
-      ++cancelled;
-    } else if (job->placed.empty()) {
-      endJob(builder, flow, jobId, *job, nullptr, nullptr);
-      ++ended;
-    } else {
-      continue;
-    }
-    if (!builder.fits()) {
-      builder = std::move(before);
-      break;
-    }
+      t.set(keys::job(jobId), toJson(record), job->modRevision);
+    });
+    if (result == FlowTransaction::Result::full) break;
+    if (result == FlowTransaction::Result::added) ++(active ? cancelled : ended);
   }
   if (builder.empty()) return std::nullopt;
   std::vector<JobId> removedJobs = builder.removedJobs();
@@ -153,19 +148,22 @@
     if (used) continue;
     if (!over && !version.upload->closing && wall - version.upload->atMs < kAbandonedMs) continue;
     std::string key = keys::upload(id, digest);
-    Transaction t = context_.begin();
-    t.compares.push_back({key, version.modRevision});
+    Transaction first = context_.begin();
+    first.compares.push_back({key, version.modRevision});
+    TransactionBuilder builder(context_.store.limits(), std::move(first));
     if (!version.upload->closing) {
       FlowUpload closing = *version.upload;
       closing.closing = true;
-      t.writes.push_back({key, toJson(closing), std::nullopt});
-      return Commit{std::move(t), nullptr, "flow " + id.value + ": a version is being removed"};
+      builder.add({{}, {{key, toJson(closing), std::nullopt}}});
+      if (builder.empty()) continue;
+      return Commit{builder.take(), nullptr, "flow " + id.value + ": a version is being removed"};
     }
     std::uint32_t& at = removedKeyCounts_[{id, digest}];
     std::uint32_t pages = version.upload->instances / kPageSize + 1;
     std::uint32_t total = version.upload->texts + pages + version.upload->parts;
     std::uint32_t next = at;
-    for (; next < total && t.writes.size() < context_.platform.transactionOps; ++next) {
+    bool full = false;
+    for (; next < total; ++next) {
       std::uint32_t n = next;
       std::string name;
       if (n < version.upload->texts) {
@@ -176,11 +174,14 @@
       } else {
         name = keys::graphPart(id, digest, n - pages);
       }
-      t.writes.push_back({std::move(name), std::nullopt, std::nullopt});
+      auto result = builder.add({{}, {{std::move(name), std::nullopt, std::nullopt}}});
+      full = result == TransactionBuilder::Result::full;
+      if (full) break;
     }
-    bool last = next == total && t.writes.size() < context_.platform.transactionOps;
-    if (last) t.writes.push_back({key, std::nullopt, std::nullopt});
-    return Commit{std::move(t),
+    bool last = !full && builder.add({{}, {{key, std::nullopt, std::nullopt}}}) ==
+                             TransactionBuilder::Result::added;
+    if (builder.empty()) continue;
+    return Commit{builder.take(),
                   [this, id, digest, next, last] {
                     removedKeyCounts_[{id, digest}] = next;
                     if (last) removedKeyCounts_.erase({id, digest});
--- a/src/flows/flow_transaction.hpp
+++ b/src/flows/flow_transaction.hpp
@@ -1,29 +1,48 @@
 /// \file
 /// Builds one transaction of a flow from changes to jobs, pages of instance states, accounts and
-/// the head. The builder can be copied, so that a caller can undo a change that exceeds the limits.
+/// the head, within the limits of the state service.
 #pragma once
 
+#include <algorithm>
+#include <functional>
+
 #include "flows/flow_loop.hpp"
 
 namespace kestrelhoist {
 
 /// Collects the writes and compares of one transaction of a flow.
-class FlowLoop::TransactionBuilder {
+class FlowLoop::FlowTransaction {
  public:
-  TransactionBuilder(const LeaderContext& context, const FlowId& id, const FlowState& flow,
-                     const FlowVersion& version, const Digest& graph)
+  using Result = TransactionBuilder::Result;
+
+  FlowTransaction(const LeaderContext& context, const FlowId& id, const FlowState& flow,
+                  const FlowVersion& version, const Digest& graph)
       : context_(&context), id_(id), flow_(&flow), version_(&version), graph_(graph) {}
 
+  /// Calls `change`, which adds a part with the functions below. Undoes it if the transaction is
+  /// then beyond a limit.
+  Result add(const std::function<void(FlowTransaction&)>& change) {
+    FlowTransaction before = *this;
+    change(*this);
+    ++parts_;
+    CommitLimits& commitLimits = context_->store.limits();
+    const auto limit = exceededLimit(size(), limits());
+    const bool alone = before.empty();
+    if (!limit && parts_ <= commitLimits.maxParts() &&
+        !(alone && commitLimits.isSetAside(wholePart()))) {
+      return Result::added;
+    }
+    if (alone && limit) commitLimits.setAside(wholePart(), "limit exceeded: " + *limit);
+    *this = std::move(before);
+    return alone ? Result::unwritable : Result::full;
+  }
+
   void set(const std::string& key, Json value, Revision modRevision) {
-    bytes_ += value.dump().size() + key.size() + 64;
-    writes_.push_back({key, std::move(value), std::nullopt});
-    compares_.push_back({key, modRevision});
+    append({key, std::move(value), std::nullopt}, modRevision);
   }
 
   void remove(const std::string& key, Revision modRevision) {
-    bytes_ += key.size() + 64;
-    writes_.push_back({key, std::nullopt, std::nullopt});
-    compares_.push_back({key, modRevision});
+    append({key, std::nullopt, std::nullopt}, modRevision);
     if (key.starts_with(keys::kJob)) removedJobs_.emplace_back(key.substr(keys::kJob.size()));
   }
 
@@ -49,38 +68,43 @@
       return e.rule == rule.name && e.perTask.cpus == rule.perTask.cpus &&
              e.perTask.gpus == rule.perTask.gpus && e.perTask.ramGb == rule.perTask.ramGb;
     };
-    auto add = [&](std::vector<AccountEntry>& entries) {
-      if (estimatedAccountBytes(entries) > context_->legacyValueBytes()) return false;
+    // Adds the use to an entry of the rule, unless the block then exceeds the limit for values.
+    auto addTo = [&](std::vector<AccountEntry>& entries) {
       auto it = std::find_if(entries.begin(), entries.end(), same);
       if (it == entries.end()) return false;
+      const ResourceUse known = it->use;
       it->use += use;
-      return true;
+      if (accountBytes(entries) <= context_->legacyValueBytes()) return true;
+      it->use = known;
+      return false;
     };
     for (auto& [block, entries] : accounts_) {
-      if (add(entries)) return;
+      if (addTo(entries)) return;
     }
     for (const auto& [block, entries] : flow_->accounts) {
-      if (accounts_.contains(block) || std::none_of(entries.begin(), entries.end(), same)) continue;
+      if (accounts_.contains(block)) continue;
       // A block that was filled under a larger value limit cannot be rewritten. The use then goes
       // to a second entry for the rule; readers sum all entries of a rule.
-      if (estimatedAccountBytes(entries) > context_->legacyValueBytes()) continue;
-      add(accounts_.emplace(block, entries).first->second);
+      std::vector<AccountEntry> changed = entries;
+      if (!addTo(changed)) continue;
+      accounts_.emplace(block, std::move(changed));
       return;
     }
     std::uint32_t last = 0;
     if (!flow_->accounts.empty()) last = flow_->accounts.rbegin()->first;
     if (!accounts_.empty()) last = std::max(last, accounts_.rbegin()->first);
     auto known = flow_->accounts.find(last);
-    std::size_t filled = accounts_.contains(last) ? estimatedAccountBytes(accounts_.at(last))
-                         : known != flow_->accounts.end() ? estimatedAccountBytes(known->second)
+    std::size_t filled = accounts_.contains(last)         ? accountBytes(accounts_.at(last))
+                         : known != flow_->accounts.end() ? accountBytes(known->second)
                                                           : 0;
+    const AccountEntry entry{rule.name, rule.perTask, use};
     // A block is filled only to half of the value limit, because the numbers in it grow.
-    if (filled + rule.name.size() + 128 > context_->platform.valueBytes / 2) {
+    if (filled + accountBytes({entry}) > context_->platform.valueBytes / 2) {
       ++last;
     } else if (known != flow_->accounts.end()) {
       accounts_.try_emplace(last, known->second);
     }
-    accounts_[last].push_back({rule.name, rule.perTask, use});
+    accounts_[last].push_back(entry);
   }
 
   /// Ends the flow: writes the given head and removes the flow from the member's list of open
@@ -106,47 +130,73 @@
   }
   std::vector<JobId> removedJobs() const { return removedJobs_; }
 
-  /// Returns true if the transaction is within the limits of the state service.
-  bool fits() const {
-    std::size_t bytes = bytes_ + 1024;
-    for (const auto& [number, letters] : pages_) {
-      std::size_t size = packPage(letters, context_->mayWriteFormat2()).size();
-      if (size + 64 > context_->legacyValueBytes()) return false;
-      bytes += size + 128;
-    }
-    for (const auto& [block, entries] : accounts_) bytes += estimatedAccountBytes(entries) + 128;
-    return changes() <= context_->platform.transactionOps && bytes <= kMaxTransactionBytes;
+  Transaction finish() {
+    TransactionPart part = wholePart();
+    Transaction t = context_->begin();
+    t.compares.insert(t.compares.end(), part.compares.begin(), part.compares.end());
+    t.writes = std::move(part.writes);
+    t.parts = parts_;
+    return t;
   }
 
-  Transaction finish() {
+ private:
+  static Json accountJson(const std::vector<AccountEntry>& entries) {
+    Json list = Json::array();
+    for (const auto& entry : entries) list.push_back(toJson(entry));
+    return list;
+  }
+  static std::size_t accountBytes(const std::vector<AccountEntry>& entries) {
+    return jsonBytes(accountJson(entries));
+  }
+
+  void append(Write write, Revision modRevision) {
+    compares_.push_back({write.key, modRevision});
+    appendedSize_ += sizeOf(compares_.back());
+    appendedSize_ += sizeOf(write);
+    writes_.push_back(std::move(write));
+  }
+
+  /// Returns the limits, of which that for values allows for records of an older version.
+  TransactionLimits limits() const {
+    return {context_->store.limits().limits().operations, context_->legacyValueBytes()};
+  }
+
+  /// Returns the writes and compares of the pages, the accounts and the head.
+  TransactionPart collectedPart() const {
+    TransactionPart part;
+    auto put = [&](const std::string& key, Json value, Revision modRevision) {
+      part.compares.push_back({key, modRevision});
+      part.writes.push_back({key, std::move(value), std::nullopt});
+    };
     for (const auto& [number, letters] : pages_) {
-      std::string key = keys::page(id_, graph_, number);
-      set(key, packPage(letters, context_->mayWriteFormat2()),
+      const std::string key = keys::page(id_, graph_, number);
+      put(key, packPage(letters, context_->mayWriteFormat2()),
           context_->replica.modRevisionOf(key));
     }
     for (const auto& [block, entries] : accounts_) {
-      Json list = Json::array();
-      for (const auto& e : entries) list.push_back(toJson(e));
-      std::string key = keys::account(id_, block);
-      set(key, std::move(list), context_->replica.modRevisionOf(key));
+      const std::string key = keys::account(id_, block);
+      put(key, accountJson(entries), context_->replica.modRevisionOf(key));
     }
-    std::string head = keys::flow(id_);
     if (head_) {
-      set(head, toJson(*head_), flow_->modRevision);
+      put(keys::flow(id_), toJson(*head_), flow_->modRevision);
     } else {
-      compares_.push_back({head, flow_->modRevision});
+      part.compares.push_back({keys::flow(id_), flow_->modRevision});
     }
-    Transaction t = context_->begin();
-    t.compares.insert(t.compares.end(), compares_.begin(), compares_.end());
-    t.writes = std::move(writes_);
-    return t;
+    return part;
   }
 
- private:
-  static std::size_t estimatedAccountBytes(const std::vector<AccountEntry>& entries) {
-    std::size_t n = 2;
-    for (const auto& e : entries) n += e.rule.size() + 96;
-    return n;
+  TransactionPart wholePart() const {
+    TransactionPart part{compares_, writes_};
+    TransactionPart collected = collectedPart();
+    part.compares.insert(part.compares.end(), collected.compares.begin(), collected.compares.end());
+    part.writes.insert(part.writes.end(), collected.writes.begin(), collected.writes.end());
+    return part;
+  }
+
+  TransactionSize size() const {
+    TransactionSize added = appendedSize_;
+    added += sizeOf(collectedPart());
+    return sizeWith(sizeOf(context_->begin()), added);
   }
 
   const LeaderContext* context_;
@@ -160,7 +210,8 @@
   std::map<std::uint32_t, std::vector<AccountEntry>> accounts_;
   std::optional<FlowHead> head_;
   std::vector<JobId> removedJobs_;
-  std::size_t bytes_ = 0;
+  TransactionSize appendedSize_;  ///< Is the size of `compares_` and `writes_`.
+  std::size_t parts_ = 0;
 };
 
 }  // namespace kestrelhoist
--- a/src/flows/service_uploads.cpp
+++ b/src/flows/service_uploads.cpp
@@ -8,10 +8,6 @@
 // These constants limit the graph parts and the text parts of one version.
 constexpr std::uint64_t kMaxParts = 0xffff;
 constexpr std::uint64_t kMaxTexts = 0xfffff;
-// These constants give the size limit of a transaction and its estimated overheads, in bytes.
-constexpr std::size_t kMaxBytes = 56 * 1024;
-constexpr std::size_t kBytesWithoutWrites = 512;
-constexpr std::size_t kBytesPerWrite = 64;  // excludes the key and the value
 // These constants tell a client after how many seconds it should retry.
 constexpr int kClosingRetryS = 5;    // An upload of the same version is being removed.
 constexpr int kCapacityRetryS = 10;  // Capacity becomes available when other flows end.
@@ -52,11 +48,14 @@
 // remaining parts in its next request.
 class PartBatch {
  public:
-  PartBatch(const Replica& replica, const Platform& platform, const FlowId& id,
+  PartBatch(const Replica& replica, CommitLimits& limits, const FlowId& id,
             const FlowVersion& version, const Digest& digest)
-      : replica_(replica), platform_(platform), id_(id), upload_(*version.upload), digest_(digest) {
-    transaction_.compares.push_back({keys::upload(id, digest), version.modRevision});
-  }
+      : replica_(replica),
+        valueBytes_(limits.limits().valueBytes),
+        id_(id),
+        upload_(*version.upload),
+        digest_(digest),
+        builder_(limits, Transaction{{{keys::upload(id, digest), version.modRevision}}, {}}) {}
 
   // Adds the parts of a list. Returns the error response if a part is invalid.
   std::optional<Response> add(PartKind kind, const Json* list) {
@@ -70,7 +69,7 @@
 
   // Returns the number of parts that this transaction writes or that were already stored.
   std::size_t handled() const { return handled_; }
-  Transaction takeTransaction() { return std::move(transaction_); }
+  Transaction takeTransaction() { return builder_.take(); }
 
  private:
   std::optional<Response> addPart(PartKind kind, const Json& entry) {
@@ -79,19 +78,19 @@
     if (!number || !data || !valid(kind, *number, *data)) {
       return errorResponse(400, "a part is malformed");
     }
-    std::size_t size = data->dump().size();
-    if (size > platform_.valueBytes) {
-      return errorResponse(
-          422, "a part is larger than " + std::to_string(platform_.valueBytes) + " bytes");
+    if (jsonBytes(*data) > valueBytes_) {
+      return errorResponse(422, "a part is larger than " + std::to_string(valueBytes_) + " bytes");
     }
+    if (full_) return std::nullopt;
     std::string key = keyOf(kind, static_cast<std::uint32_t>(*number));
     bool written = kind == PartKind::graph && replica_.modRevisionOf(key) != Revision{};
-    full_ = full_ || (!written && !fits(size));
-    if (full_) return std::nullopt;
-    ++handled_;
-    if (written) return std::nullopt;
-    bytes_ += size + key.size() + kBytesPerWrite;
-    transaction_.writes.push_back({std::move(key), *data, std::nullopt});
+    auto result = written ? TransactionBuilder::Result::added
+                          : builder_.add({{}, {{std::move(key), *data, std::nullopt}}});
+    if (result == TransactionBuilder::Result::unwritable) {
+      return errorResponse(422, "a part is not accepted by the state service");
+    }
+    full_ = result == TransactionBuilder::Result::full;
+    if (!full_) ++handled_;
     return std::nullopt;
   }
 
@@ -100,22 +99,17 @@
     return number < upload_.texts && data.is_string();
   }
 
-  bool fits(std::size_t size) const {
-    return transaction_.writes.size() < platform_.transactionOps && bytes_ + size <= kMaxBytes;
-  }
-
   std::string keyOf(PartKind kind, std::uint32_t number) const {
     return kind == PartKind::graph ? keys::graphPart(id_, digest_, number)
                                    : keys::text(id_, digest_, number);
   }
 
   const Replica& replica_;
-  const Platform& platform_;
+  const std::size_t valueBytes_;
   const FlowId& id_;
   const FlowUpload& upload_;
   const Digest& digest_;
-  Transaction transaction_;
-  std::size_t bytes_ = kBytesWithoutWrites;
+  TransactionBuilder builder_;
   std::size_t handled_ = 0;
   bool full_ = false;
 };
@@ -173,7 +167,7 @@
     if (!known || !known->upload || known->upload->closing) {
       return respond(errorResponse(404, "no such upload"));
     }
-    PartBatch batch(replica_, platform_, id, *known, digest);
+    PartBatch batch(replica_, store_.limits(), id, *known, digest);
     if (auto refusal = batch.add(PartKind::graph, field(*body, "graph"))) return respond(*refusal);
     if (auto refusal = batch.add(PartKind::text, field(*body, "texts"))) return respond(*refusal);
     Json answer = {{"ref", id.value}, {"written", batch.handled()}};
--- a/src/jobs/admission.cpp
+++ b/src/jobs/admission.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "store/transaction.hpp"
+
 namespace kestrelhoist {
 namespace {
 
@@ -14,7 +16,7 @@
 constexpr std::size_t kListSyntaxBytes = 3;
 
 bool fits(const Json& value, std::size_t valueBytes) {
-  return value.dump().size() + kOverheadBytes <= valueBytes;
+  return jsonBytes(value) + kOverheadBytes <= valueBytes;
 }
 
 // Splits a dependency list into parts that each fit into a record of `valueBytes`.
--- a/src/jobs/submission.cpp
+++ b/src/jobs/submission.cpp
@@ -117,18 +117,18 @@
   const JobId& id = submission->record.spec->id;
   const auto count = static_cast<std::uint32_t>(submission->dependencyParts.size());
   if (from >= count) return create(submission, kCreateTries, respond);
-  Transaction t;
-  t.requestId = submission->requestId;
-  t.compares.push_back({keys::job(id), Revision{}});
-  std::size_t bytes = 0;
+  Transaction first;
+  first.requestId = submission->requestId;
+  first.compares.push_back({keys::job(id), Revision{}});
+  TransactionBuilder builder(store_.limits(), std::move(first));
   std::uint32_t next = from;
-  while (next < count && t.writes.size() < platform_.transactionOps &&
-         (t.writes.empty() || bytes + platform_.valueBytes <= kMaxTransactionBytes)) {
+  for (; next < count; ++next) {
     Json value = {{"jobs", jobIdsToJson(submission->dependencyParts[next])}};
-    bytes += platform_.valueBytes;
-    t.writes.push_back({keys::dependencyPart(id, next), std::move(value), std::nullopt});
-    ++next;
+    auto result = builder.add({{}, {{keys::dependencyPart(id, next), std::move(value), {}}}});
+    if (result == TransactionBuilder::Result::unwritable) return respond(retryLater(503));
+    if (result == TransactionBuilder::Result::full) break;
   }
+  Transaction t = builder.take();
   ++requestsInProgress_;
   store_.commit(t, kCommitTimeout, [this, submission, next, t, respond](CommitResult r) {
     --requestsInProgress_;
--- a/src/leadership/leader_context.hpp
+++ b/src/leadership/leader_context.hpp
@@ -84,6 +84,9 @@
     return t;
   }
 
+  /// Begins a transaction to which parts can be added within the limits in force.
+  TransactionBuilder beginBounded() const { return {store.limits(), begin()}; }
+
   /// Returns whether records may be written in format 2, whose values fit a smaller size limit.
   bool mayWriteFormat2() const { return allMembersRead && allMembersRead(2); }
   /// Returns the size limit for values that an older version may have made larger than the smaller
@@ -91,7 +94,7 @@
   /// present, larger limit.
   std::size_t legacyValueBytes() const {
     return mayWriteFormat2() ? platform.valueBytes
-                             : std::max(platform.valueBytes, platform.valueBytesNow);
+                             : std::max(platform.valueBytes, store.limits().presentValueBytes());
   }
 
   std::shared_ptr<int> alive = std::make_shared<int>(0);
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -37,6 +37,10 @@
   prometheus::Histogram& wait = waits.Add({}, kSeconds);
   prometheus::Family<prometheus::Counter>& commits = family<prometheus::Counter>(
       registry, "commits_total", "transactions sent to the state service, by outcome and role");
+  prometheus::Counter& writesSetAside =
+      family<prometheus::Counter>(registry, "writes_set_aside_total",
+                                  "writes that the state service accepts in no transaction")
+          .Add({});
   prometheus::Family<prometheus::Counter>& repeats = family<prometheus::Counter>(
       registry, "repeats_total",
       "requests sent once more as nobody had answered, by what they are");
@@ -71,6 +75,8 @@
   families_->commits.Add({{"outcome", outcome}, {"role", leading ? "leader" : "node"}}).Increment();
 }
 
+void Metrics::writeSetAside() { families_->writesSetAside.Increment(); }
+
 void Metrics::repeated(const char* what) { families_->repeats.Add({{"what", what}}).Increment(); }
 
 void Metrics::terminationRequested(Duration silence) {
--- a/src/metrics/metrics.hpp
+++ b/src/metrics/metrics.hpp
@@ -37,6 +37,9 @@
   /// "unknown" or another.
   void committed(const char* outcome, bool leading);
 
+  /// Counts a write that was set aside, because the state service accepts no transaction with it.
+  void writeSetAside();
+
   /// Counts a hedged request that was sent a second time. Its kind `what` is "state_read",
   /// "forward" or "commands".
   void repeated(const char* what);
--- a/src/placement/placement_transaction.cpp
+++ b/src/placement/placement_transaction.cpp
@@ -6,72 +6,81 @@
 #include "base/log.hpp"
 
 namespace kestrelhoist {
-namespace {
-
-// These sizes are estimates of the encoded transaction.
-constexpr std::size_t kTransactionBytes = 1024;  // The size excludes the writes.
-constexpr std::size_t kBytesPerWrite = 400;     // The size includes keys, compares and a job's end.
-constexpr std::size_t kBytesPerPlacement = 46;  // The size excludes the machine's id.
-
-}  // namespace
 
 PlacementTransaction::PlacementTransaction(LeaderContext& context, ConfirmedOutcomes& outcomes)
     : context_(context),
       outcomes_(outcomes),
-      maxOperations_(context.platform.transactionOps),
+      limits_{context.store.limits().limits().operations,
+              context.store.limits().presentValueBytes()},
       maxChunkSize_(chunkSizeFor(context.platform.valueBytes)),
       mayWriteFormat2_(context.mayWriteFormat2()),
-      bytes_(kTransactionBytes) {}
+      emptySize_(sizeOf(context.begin())),
+      size_(emptySize_) {}
 
-bool PlacementTransaction::addRecord(const JobId& id, const JobState& job, std::uint32_t index) {
+PlacementTransaction::Result PlacementTransaction::addRecord(const JobId& id, const JobState& job,
+                                                             std::uint32_t index) {
   const TaskRange range = rangeOf(job, index);
-  if (drafts_.contains({id, range.first})) return true;
+  if (drafts_.contains({id, range.first})) return Result::added;
+  CommitLimits& commitLimits = context_.store.limits();
   // The operation limit must allow for this record and for the end of its job.
-  if (full_ || drafts_.size() + endingJobs_ + 2 > maxOperations_) return false;
-  Draft draft{
-      &job, range, context_.replica.tasksOf(job, range.first, range.last, !range.isSubChunk),
-      0,    0,     false};
-  std::size_t size = draft.record.maxEncodedBytes() + (range.last - range.first) / 4 + 2;
-  if (bytes_ + size + kBytesPerWrite > kMaxTransactionBytes && !drafts_.empty()) {
+  if (full_ || drafts_.size() >= commitLimits.maxParts() ||
+      drafts_.size() + endingJobs_ + 2 > limits_.operations) {
+    return Result::full;
+  }
+  Draft draft{&job, range,
+              context_.replica.tasksOf(job, range.first, range.last, !range.isSubChunk)};
+  applyPendingOutcomes(id, draft, index);
+  const bool ends = endsWith(id, job, draft.newlyFinished);
+  const TransactionPart part = maxPartOf(id, draft, ends);
+  const TransactionSize partSize = sizeOf(part);
+  if (auto limit = exceededLimit(sizeWith(emptySize_, partSize), limits_)) {
+    commitLimits.setAside(part, "limit exceeded: " + *limit);
+    return Result::unwritable;
+  }
+  if (commitLimits.isSetAside(part)) return Result::unwritable;
+  const TransactionSize together = sizeWith(size_, partSize);
+  if (exceededLimit(together, limits_)) {
     // The flag makes later refusals cheap, because thousands of placements may still be tried.
     full_ = true;
-    return false;
+    return Result::full;
   }
-  bytes_ += size + kBytesPerWrite;
-  draft.bytes = size;
-  applyPendingOutcomes(id, draft, index);
+  size_ = together;
+  draft.valueBytes = jsonBytes(*part.writes.front().value);
+  // The end of a flow's job is written by the flow's own transaction.
+  if (draft.newlyFinished > 0 && !job.record.flow) newlyFinished_[id] += draft.newlyFinished;
+  if (ends) ++endingJobs_;
+  endedAttempts_.insert(endedAttempts_.end(), draft.endedAttempts.begin(),
+                        draft.endedAttempts.end());
   drafts_.emplace(std::pair(id, range.first), std::move(draft));
-  return true;
+  return Result::added;
 }
 
 void PlacementTransaction::applyPendingOutcomes(const JobId& id, Draft& draft,
                                                 std::uint32_t index) {
   const JobState& job = *draft.job;
   auto pending = outcomes_.pending().find({id, index / job.record.chunkSize});
-  if (pending != outcomes_.pending().end()) {
-    for (const auto& [task, outcome] : pending->second.outcomes) {
-      removeEnded(id, draft, task, outcome);
-    }
+  if (pending == outcomes_.pending().end()) return;
+  for (const auto& [task, outcome] : pending->second.outcomes) {
+    removeEnded(id, draft, task, outcome);
   }
-  // The end of a flow's job is written by the flow's own transaction.
-  if (draft.newlyFinished == 0 || job.record.flow) return;
-  newlyFinished_[id] += draft.newlyFinished;
-  if (endsJob(id, job)) ++endingJobs_;
 }
 
-bool PlacementTransaction::place(const JobId& id, const JobState& job, std::uint32_t index,
-                                 const TaskPlacement& placement) {
-  if (!addRecord(id, job, index)) return false;
+PlacementTransaction::Result PlacementTransaction::place(const JobId& id, const JobState& job,
+                                                         std::uint32_t index,
+                                                         const TaskPlacement& placement) {
+  if (Result result = addRecord(id, job, index); result != Result::added) return result;
   Draft& draft = drafts_.at({id, rangeOf(job, index).first});
-  std::size_t added = placement.machine.value.size() + kBytesPerPlacement;
-  std::size_t limit =
+  const std::size_t added = maxPlacementBytes(index, placement);
+  const std::size_t valueLimit =
       isOversized(draft) ? context_.legacyValueBytes() : context_.platform.valueBytes;
-  if (draft.bytes + added > limit || bytes_ + added > kMaxTransactionBytes) return false;
-  draft.bytes += added;
-  bytes_ += added;
+  if (draft.valueBytes + added > valueLimit || size_.bytes + added > kMaxTransactionBytes) {
+    return Result::full;
+  }
+  draft.valueBytes += added;
+  size_.bytes += added;
   draft.record.placed.insert_or_assign(index, placement);
   draft.hasPlacements = true;
-  return true;
+  return Result::added;
 }
 
 bool PlacementTransaction::mayPlace(const JobId& id, const JobState& job,
@@ -89,8 +98,20 @@
   return outcome && !outcome->isFinal;
 }
 
+// The record counts as written, although it is deleted if the job ends, and the job's revision
+// counts as compared, although it is not if no task is placed and the job does not end.
+TransactionPart PlacementTransaction::maxPartOf(const JobId& id, const Draft& draft,
+                                                bool endsJob) const {
+  const JobState& job = *draft.job;
+  TransactionPart part{recordCompares(id, draft), {recordWrite(id, draft)}};
+  part.compares.push_back({keys::job(id), job.modRevision});
+  if (endsJob) part.writes.push_back(jobEndWrite(id, job));
+  return part;
+}
+
 void PlacementTransaction::writeTo(Transaction& transaction) const {
   Written written;
+  transaction.parts = drafts_.size();
   for (const auto& [key, draft] : drafts_) {
     const JobId& id = key.first;
     const JobState& job = *draft.job;
@@ -99,41 +120,72 @@
     if ((ends || draft.hasPlacements) && written.comparedJobs.insert(id).second) {
       transaction.compares.push_back({keys::job(id), job.modRevision});
     }
-    if (ends && written.endedJobs.insert(id).second) writeJobEnd(transaction, id, job);
+    if (ends && written.endedJobs.insert(id).second) {
+      transaction.writes.push_back(jobEndWrite(id, job));
+      logInfo("job done", "job", id, "tasks", job.tasks);
+    }
   }
 }
 
 void PlacementTransaction::writeRecord(Transaction& transaction, const JobId& id,
                                        const Draft& draft, Written& written) const {
-  const TaskRange& range = draft.range;
-  std::string chunkKey = keys::tasks(id, range.first / draft.job->record.chunkSize);
-  std::string key = range.isSubChunk ? keys::subChunk(id, range.first, range.last) : chunkKey;
-  transaction.compares.push_back({key, context_.replica.modRevisionOf(key)});
-  // The first write of a sub-chunk copies the state of its tasks from the record of the whole
-  // chunk, so it also compares that record's revision.
-  if (range.isSubChunk && written.comparedChunks.insert(chunkKey).second) {
-    transaction.compares.push_back({chunkKey, context_.replica.modRevisionOf(chunkKey)});
+  for (auto& compare : recordCompares(id, draft)) {
+    if (written.comparedChunks.insert(compare.key).second) {
+      transaction.compares.push_back(std::move(compare));
+    }
   }
+  Write write = recordWrite(id, draft);
   // When all tasks are done, this transaction also writes the job's end, compares the job's
   // modRevision, and deletes the records of the job's tasks. A cancellation changes the
   // modRevision, so a cancellation and a placement can't both succeed. The same compare keeps a
   // delayed duplicate of the write that created this record from creating it again. The record of a
   // sub-chunk is not deleted, because the outdated record of the whole chunk would then apply to
   // its tasks.
-  bool isDeleted = endsJob(id, *draft.job) && !range.isSubChunk && draft.record.placed.empty() &&
-                   context_.replica.modRevisionOf(key) != Revision{};
-  transaction.writes.push_back(
-      {key, isDeleted ? std::nullopt : std::optional(toJson(draft.record)), std::nullopt});
+  if (endsJob(id, *draft.job) && !draft.range.isSubChunk && draft.record.placed.empty() &&
+      context_.replica.modRevisionOf(write.key) != Revision{}) {
+    write.value.reset();
+  }
+  transaction.writes.push_back(std::move(write));
 }
 
-void PlacementTransaction::writeJobEnd(Transaction& transaction, const JobId& id,
-                                       const JobState& job) const {
+Write PlacementTransaction::recordWrite(const JobId& id, const Draft& draft) const {
+  const TaskRange& range = draft.range;
+  std::string key = range.isSubChunk ? keys::subChunk(id, range.first, range.last)
+                                     : keys::tasks(id, range.first / draft.job->record.chunkSize);
+  return {std::move(key), toJson(draft.record), std::nullopt};
+}
+
+std::vector<Compare> PlacementTransaction::recordCompares(const JobId& id,
+                                                          const Draft& draft) const {
+  const TaskRange& range = draft.range;
+  const std::string chunkKey = keys::tasks(id, range.first / draft.job->record.chunkSize);
+  const Compare chunk{chunkKey, context_.replica.modRevisionOf(chunkKey)};
+  if (!range.isSubChunk) return {chunk};
+  // The first write of a sub-chunk copies the state of its tasks from the record of the whole
+  // chunk, so it also compares that record's revision.
+  const std::string key = keys::subChunk(id, range.first, range.last);
+  return {{key, context_.replica.modRevisionOf(key)}, chunk};
+}
+
+Write PlacementTransaction::jobEndWrite(const JobId& id, const JobState& job) const {
   JobRecord record = job.record;
   record.phase = JobPhase::done;
   // Jobs that depend on this one count their waiting time from this time on.
   record.endedAtMs = context_.runtime.wallMillis();
-  transaction.writes.push_back({keys::job(id), toJson(record), std::nullopt});
-  logInfo("job done", "job", id, "tasks", job.tasks);
+  record = endedRecordWithin(std::move(record), context_.platform.valueBytes);
+  Write write{keys::job(id), toJson(record), std::nullopt};
+  if (context_.store.limits().isSetAside({{{write.key, job.modRevision}}, {write}})) {
+    write.value = toJson(endedRecordWithin(std::move(record), 0));
+  }
+  return write;
+}
+
+bool PlacementTransaction::endsWith(const JobId& id, const JobState& job,
+                                    std::uint32_t finished) const {
+  if (finished == 0 || job.record.flow) return false;
+  auto earlier = newlyFinished_.find(id);
+  if (earlier != newlyFinished_.end()) finished += earlier->second;
+  return job.finishedCount + finished >= job.tasks;
 }
 
 // Returns whether this transaction finishes the last of the job's tasks.
@@ -209,7 +261,7 @@
     ++draft.newlyFinished;
   }
   if (job.record.flow) addUsage(draft, index, outcome);
-  endedAttempts_.push_back({{{id, index}, outcome.attempt}, outcome.attemptOutcome});
+  draft.endedAttempts.push_back({{{id, index}, outcome.attempt}, outcome.attemptOutcome});
 }
 
 }  // namespace kestrelhoist
--- a/src/placement/placement_transaction.hpp
+++ b/src/placement/placement_transaction.hpp
@@ -26,16 +26,18 @@
 /// change before writeTo() has been called.
 class PlacementTransaction {
  public:
+  using Result = TransactionBuilder::Result;
+
   /// Creates an empty transaction.
   PlacementTransaction(LeaderContext& context, ConfirmedOutcomes& outcomes);
 
-  /// Adds the record of this task, with the outcomes that are pending for it. Returns false if the
-  /// transaction is full.
-  [[nodiscard]] bool addRecord(const JobId& id, const JobState& job, std::uint32_t index);
+  /// Adds the record of this task, with the outcomes that are pending for it and the end of its job
+  /// if they end it.
+  [[nodiscard]] Result addRecord(const JobId& id, const JobState& job, std::uint32_t index);
 
-  /// Places the task. Returns false if its record or the transaction is full.
-  [[nodiscard]] bool place(const JobId& id, const JobState& job, std::uint32_t index,
-                           const TaskPlacement& placement);
+  /// Places the task. The result is `full` if its record or the transaction is full.
+  [[nodiscard]] Result place(const JobId& id, const JobState& job, std::uint32_t index,
+                             const TaskPlacement& placement);
 
   /// Returns whether the task may be placed once this transaction is applied: it is then neither
   /// finished nor dropped nor on a machine, and has retries left.
@@ -63,9 +65,11 @@
     const JobState* job;
     TaskRange range;
     TaskChunkRecord record;
-    std::size_t bytes;            ///< This is the estimated size of the record's value.
-    std::uint32_t newlyFinished;  ///< Counts the tasks that this transaction marks as finished.
-    bool hasPlacements;           ///< The transaction places tasks of this record.
+    /// This is the size of the record's value, or more if tasks were placed.
+    std::size_t valueBytes = 0;
+    std::uint32_t newlyFinished = 0;  ///< Counts the tasks that the draft marks as finished.
+    bool hasPlacements = false;       ///< The transaction places tasks of this record.
+    std::vector<EndedAttempt> endedAttempts{};  ///< Lists the attempts that the draft removes.
   };
   /// Tracks which keys writeTo() has already appended, so that no compare or write is added twice.
   struct Written {
@@ -78,17 +82,24 @@
   void applyPendingOutcomes(const JobId& id, Draft& draft, std::uint32_t index);
   void removeEnded(const JobId& id, Draft& draft, std::uint32_t index,
                    const ConfirmedOutcomes::Outcome& outcome);
+  /// Returns whether the job ends if this many more of its tasks are finished.
+  bool endsWith(const JobId& id, const JobState& job, std::uint32_t finished) const;
+  /// Returns the writes and compares of the draft, or more than these.
+  TransactionPart maxPartOf(const JobId& id, const Draft& draft, bool endsJob) const;
+  Write recordWrite(const JobId& id, const Draft& draft) const;
+  Write jobEndWrite(const JobId& id, const JobState& job) const;
+  std::vector<Compare> recordCompares(const JobId& id, const Draft& draft) const;
   static void addUsage(Draft& draft, std::uint32_t index,
                        const ConfirmedOutcomes::Outcome& outcome);
   static std::uint32_t failuresOf(const Draft& draft, std::uint32_t index);
   bool endsJob(const JobId& id, const JobState& job) const;
   void writeRecord(Transaction& transaction, const JobId& id, const Draft& draft,
                    Written& written) const;
-  void writeJobEnd(Transaction& transaction, const JobId& id, const JobState& job) const;
 
   LeaderContext& context_;
   ConfirmedOutcomes& outcomes_;
-  std::size_t maxOperations_;
+  /// Holds the limits for records, which may have the form of an older version.
+  TransactionLimits limits_;
   std::uint32_t maxChunkSize_;  ///< A new record covers at most this many tasks, by the size limit.
   bool mayWriteFormat2_;        ///< Records may be split into sub-chunks.
   /// The key consists of the job and the index of the record's first task.
@@ -98,7 +109,8 @@
   std::vector<EndedAttempt> endedAttempts_;
   std::size_t endingJobs_ = 0;
   bool full_ = false;
-  std::size_t bytes_;  ///< This is the estimated size of the whole transaction.
+  TransactionSize emptySize_;  ///< Is the size without any record.
+  TransactionSize size_;       ///< Is the size of the whole transaction, or more.
 };
 
 }  // namespace kestrelhoist
--- a/src/placement/task_loop.cpp
+++ b/src/placement/task_loop.cpp
@@ -62,8 +62,10 @@
     // placement and its end were committed at revisions up to `latestRevision`.
     TaskPlacement record{machine->id, machine->session.lastReport->workerEpoch,
                          Attempt{context_.latestRevision.value}};
-    if (!builder.place(id, *job, index, record)) {
-      context_.planInvalidated = true;
+    auto placed = builder.place(id, *job, index, record);
+    if (placed != PlacementTransaction::Result::added) {
+      // Another plan does not help a task whose record can't be written.
+      if (placed == PlacementTransaction::Result::full) context_.planInvalidated = true;
       continue;
     }
     logDebug("task placement added to transaction", "job", id, "task", index, "machine",
@@ -84,10 +86,11 @@
     if (pending == outcomes_.pending().end()) continue;
     const JobId& id = key.first;
     const auto& outcomes = pending->second.outcomes;
-    bool all = std::all_of(outcomes.begin(), outcomes.end(), [&](const auto& outcome) {
-      return builder.addRecord(id, *context_.replica.job(id), outcome.first);
+    bool full = std::any_of(outcomes.begin(), outcomes.end(), [&](const auto& outcome) {
+      auto result = builder.addRecord(id, *context_.replica.job(id), outcome.first);
+      return result == PlacementTransaction::Result::full;
     });
-    if (!all) break;
+    if (full) break;
   }
 }
 
--- a/src/policy/policy_loop.cpp
+++ b/src/policy/policy_loop.cpp
@@ -19,17 +19,17 @@
     for (const auto& [image, warm] : s.pools) n = std::max(n, warm.machines.size());
     return n;
   };
-  while (value.dump().size() > bytes && maxWarmMachines() > 0) {
+  while (jsonBytes(value) > bytes && maxWarmMachines() > 0) {
     std::size_t keep = maxWarmMachines() / 2;
     for (auto& [image, warm] : s.pools) {
       while (warm.machines.size() > keep) warm.machines.erase(std::prev(warm.machines.end()));
     }
     value = toJson(s);
   }
-  if (value.dump().size() <= bytes) return value;
+  if (jsonBytes(value) <= bytes) return value;
   for (auto& [image, warm] : s.pools) warm.starts = Forecast{};
   value = toJson(s);
-  while (value.dump().size() > bytes && !s.pools.empty()) {
+  while (jsonBytes(value) > bytes && !s.pools.empty()) {
     s.pools.erase(std::prev(s.pools.end()));
     value = toJson(s);
   }
@@ -83,13 +83,16 @@
             s.massFailure ? s.massFailure->lost : before.massFailure->lost, "missing",
             observation.missingReplicas);
   }
-  Transaction t = context_.begin();
-  t.compares.push_back({keys::kPolicyState, context_.replica.modRevisionOf(keys::kPolicyState)});
-  t.writes.push_back({keys::kPolicyState, toJson(s), std::nullopt});
-  if (window) charge(t, s, observation.nowMs);
-  t.writes[0].value = toJsonWithin(s, context_.platform.valueBytes);
+  TransactionBuilder builder = context_.beginBounded();
+  builder.add(
+      {{{keys::kPolicyState, context_.replica.modRevisionOf(keys::kPolicyState)}},
+       {{keys::kPolicyState, toJsonWithin(s, context_.platform.valueBytes), std::nullopt}}});
+  // The charges record says up to when it counts, so what is not written now is written later.
+  TransactionPart charges = window ? chargesPart(s, observation.nowMs) : TransactionPart{};
+  if (!charges.writes.empty()) builder.add(charges);
+  if (builder.empty()) return LoopStep::idle();
   return LoopStep::committing(
-      Commit{std::move(t), [this] { context_.planInvalidated = true; }, "what is in force"});
+      Commit{builder.take(), [this] { context_.planInvalidated = true; }, "what is in force"});
 }
 
 PolicyObservation PolicyLoop::observe(bool windowEnds) {
@@ -239,14 +242,15 @@
   }
 }
 
-// Adds the charges since the last charge record to the transaction of the policy state. The record
-// holds the time up to which charges are counted, so that they are counted once, also across leader
-// changes and repeated transactions.
-void PolicyLoop::charge(Transaction& t, const PolicyState& s, std::int64_t now) const {
+// Returns the writes of the charges since the last charge record. The record holds the time up to
+// which charges are counted, so that they are counted once, also across leader changes and repeated
+// transactions.
+TransactionPart PolicyLoop::chargesPart(const PolicyState& s, std::int64_t now) const {
+  TransactionPart part;
   std::int64_t hour = now / kHourMs;
   std::int64_t through = now;
   if (!replica_.hours().empty()) through = replica_.hours().rbegin()->second.throughMs;
-  if (now <= through && !replica_.hours().empty()) return;
+  if (now <= through && !replica_.hours().empty()) return part;
   ChargeRecord record;
   if (auto same = replica_.hours().find(hour); same != replica_.hours().end())
     record = same->second;
@@ -278,8 +282,8 @@
   }
   record.throughMs = now;
   auto put = [&](const std::string& key, std::optional<Json> value) {
-    t.compares.push_back({key, context_.replica.modRevisionOf(key)});
-    t.writes.push_back({key, std::move(value), std::nullopt});
+    part.compares.push_back({key, context_.replica.modRevisionOf(key)});
+    part.writes.push_back({key, std::move(value), std::nullopt});
   };
   put(keys::numbered(keys::kChargesOfHour, hour), toJson(record));
   // The charges of each interval are added to the record of the hour. The oldest hour is merged
@@ -294,11 +298,13 @@
     whole.throughMs = old.throughMs;
     put(keys::numbered(keys::kChargesOfDay, day), toJson(whole));
     put(keys::numbered(keys::kChargesOfHour, oldest), std::nullopt);
-    if (t.writes.size() < context_.platform.transactionOps &&
+    // The policy state is one more write of the same transaction.
+    if (part.writes.size() + 1 < context_.platform.transactionOps &&
         replica_.days().size() > kMaxDayRecords && replica_.days().begin()->first != day) {
       put(keys::numbered(keys::kChargesOfDay, replica_.days().begin()->first), std::nullopt);
     }
   }
+  return part;
 }
 
 }  // namespace kestrelhoist
--- a/src/policy/policy_loop.hpp
+++ b/src/policy/policy_loop.hpp
@@ -25,7 +25,7 @@
   double prioritizedMachines() const;
   void measureCoverage(PolicyState& s) const;
   void chooseWarmMachines(PolicyState& s) const;
-  void charge(Transaction& t, const PolicyState& s, std::int64_t now) const;
+  TransactionPart chargesPart(const PolicyState& s, std::int64_t now) const;
 
   LeaderContext& context_;
   Fleet& fleet_;
--- a/src/policy/service.cpp
+++ b/src/policy/service.cpp
@@ -102,7 +102,7 @@
     } catch (const std::exception& e) {
       return respond(jsonResponse(400, {{"error", e.what()}}));
     }
-    if (body["document"].dump().size() + kOverheadBytes > platform_.valueBytes) {
+    if (jsonBytes(body["document"]) + kOverheadBytes > platform_.valueBytes) {
       return respond(
           jsonResponse(400, {{"error", "/: takes more than the " +
                                            std::to_string(platform_.valueBytes - kOverheadBytes) +
@@ -130,19 +130,23 @@
     }
     PolicyVersion next{policyReplica_.version() + 1, runtime_.wallMillis(), request,
                        body["document"]};
-    Transaction t;
-    auto put = [&](const std::string& key, Json value) {
-      t.compares.push_back({key, replica_.modRevisionOf(key)});
-      t.writes.push_back({key, std::move(value), std::nullopt});
+    auto part = [&](const std::string& key, Json value) {
+      return TransactionPart{{{key, replica_.modRevisionOf(key)}},
+                             {{key, std::move(value), std::nullopt}}};
     };
-    put(keys::kPolicy, toJson(next));
+    TransactionBuilder builder(store_.limits(), {});
+    if (builder.add(part(keys::kPolicy, toJson(next))) != TransactionBuilder::Result::added) {
+      return respond(jsonResponse(400, {{"error", "/: does not fit into the state service"}}));
+    }
     // A policy that was set under a larger value limit may be too large to be kept as a past
     // version.
-    Json past = now ? toJson(*now) : Json();
-    if (now && past.dump().size() <= platform_.valueBytes) {
-      put(keys::kPolicyPast + std::to_string(now->version % PolicyReplica::kVersionsKept),
-          std::move(past));
+    if (now) {
+      builder.add(
+          part(keys::kPolicyPast + std::to_string(now->version % PolicyReplica::kVersionsKept),
+               toJson(*now)));
     }
+    Transaction t = builder.take();
+    t.parts = 1;
     store_.commit(t, kCommitTimeout, [this, t, next, request, respond](CommitResult r) {
       switch (r.outcome) {
         case CommitOutcome::applied:
--- a/src/store/change_watcher_test.cpp
+++ b/src/store/change_watcher_test.cpp
@@ -16,7 +16,7 @@
   sim::Network network{clock, random};
   simulator::StateService state{clock, network, "state:1"};
   sim::HostRuntime runtime{clock, network, "node0", 1.0};
-  StoreClient store{runtime, runtime, "state:1", 1000};
+  StoreClient store{runtime, runtime, "state:1", 1000, CommitLimits({8, 8192}, 8192)};
   Replica replica;
   ChangeWatcher watcher{runtime, store, replica, {}};
 
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -1,27 +1,10 @@
 #include "store/client.hpp"
 
-#include "base/log.hpp"
+#include <memory>
 
 namespace kestrelhoist {
 namespace {
 
-Json transactionBody(const Transaction& t) {
-  Json when = Json::array();
-  for (const auto& c : t.compares)
-    when.push_back({{"path", c.key}, {"stamp", c.modRevision.value}});
-  Json writes = Json::array();
-  for (const auto& w : t.writes) {
-    if (!w.value) {
-      writes.push_back({{"drop", w.key}});
-      continue;
-    }
-    Json entry = {{"set", w.key}, {"data", *w.value}};
-    if (w.lease) entry["ticket"] = w.lease->value;
-    writes.push_back(std::move(entry));
-  }
-  return {{"when", std::move(when)}, {"writes", std::move(writes)}};
-}
-
 // Returns the decoded body of the response, or nothing if there is no response or no valid body.
 std::optional<Json> bodyOf(const std::optional<Response>& r) {
   if (!r) return std::nullopt;
@@ -43,6 +26,35 @@
   return c;
 }
 
+// Returns the error text of an answer, which only people read.
+std::string errorOf(const std::optional<Response>& response) {
+  auto body = bodyOf(response);
+  return (body ? textField(*body, "error") : std::nullopt).value_or("?");
+}
+
+CommitResult commitResultOf(const std::optional<Response>& response) {
+  if (!response) return {CommitOutcome::unknown, {}};
+  auto body = bodyOf(response);
+  auto revision = body ? countField(*body, "epoch") : std::nullopt;
+  switch (response->status) {
+    case 200:
+      // Without a revision, the transaction was applied but the answer is malformed.
+      if (!revision) return {CommitOutcome::unknown, {}};
+      return {CommitOutcome::applied, Revision{*revision}};
+    case 409:
+      return {CommitOutcome::conflict, Revision{revision.value_or(0)}};
+    case 429:
+    case 503:
+      return {CommitOutcome::refused, {}};
+    case 400:
+      return {
+          errorOf(response) == "no such lease" ? CommitOutcome::noLease : CommitOutcome::rejected,
+          {}};
+    default:
+      return {CommitOutcome::unknown, {}};
+  }
+}
+
 }  // namespace
 
 const char* toString(CommitOutcome outcome) {
@@ -63,40 +75,31 @@
 }
 
 StoreClient::StoreClient(Runtime& runtime, HttpClient& http, std::string address,
-                         double requestsPerS)
+                         double requestsPerS, CommitLimits limits)
     : runtime_(runtime),
       http_(http),
       address_(std::move(address)),
-      budget_(requestsPerS, requestsPerS) {}
+      budget_(requestsPerS, requestsPerS),
+      limits_(std::move(limits)) {}
 
 void StoreClient::commit(const Transaction& t, Duration timeout,
                          std::function<void(CommitResult)> done) {
+  if (auto why = limits_.refusalOf(t)) {
+    limits_.onRejected(t, *why);
+    runtime_.after(Duration{0}, [done = std::move(done)] { done({CommitOutcome::rejected, {}}); });
+    return;
+  }
   budget_.take(runtime_.now(), 1);
-  http_.send(address_, {"POST", "/commit", encodeBody(transactionBody(t)), "", t.requestId},
-             timeout,
-             [observe = onCommitOutcome, answer = std::move(done)](std::optional<Response> r) {
-               auto done = [&](const CommitResult& result) {
-                 if (observe) observe(result.outcome);
-                 answer(result);
-               };
-               if (!r) return done({CommitOutcome::unknown, {}});
-               auto body = bodyOf(r);
-               auto revision = body ? countField(*body, "epoch") : std::nullopt;
-               if (r->status == 200) {
-                 // The transaction was applied, but the malformed answer has no revision.
-                 if (!revision) return done({CommitOutcome::unknown, {}});
-                 return done({CommitOutcome::applied, Revision{*revision}});
-               }
-               if (r->status == 409)
-                 return done({CommitOutcome::conflict, Revision{revision.value_or(0)}});
-               if (r->status == 429 || r->status == 503) return done({CommitOutcome::refused, {}});
-               if (r->status == 400) {
-                 auto error = body ? textField(*body, "error") : std::nullopt;
-                 if (error == "no such lease") return done({CommitOutcome::noLease, {}});
-                 logError("state service rejected a transaction", "why", error.value_or("?"));
-                 return done({CommitOutcome::rejected, {}});
+  http_.send(address_, {"POST", "/commit", encodeBody(toJson(t)), "", t.requestId}, timeout,
+             [this, sent = std::make_shared<const Transaction>(t),
+              done = std::move(done)](const std::optional<Response>& response) {
+               const CommitResult result = commitResultOf(response);
+               if (result.outcome == CommitOutcome::applied) limits_.onApplied();
+               if (result.outcome == CommitOutcome::rejected) {
+                 limits_.onRejected(*sent, errorOf(response));
                }
-               done({CommitOutcome::unknown, {}});
+               if (onCommitOutcome) onCommitOutcome(result.outcome);
+               done(result);
              });
 }
 
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -9,42 +9,17 @@
 
 #include "base/rate.hpp"
 #include "base/runtime.hpp"
+#include "store/commit_limits.hpp"
 
 namespace kestrelhoist {
 
-/// Limits the JSON text of the transactions that controllers build. The state service accepts at
-/// most 64 KiB.
-inline constexpr std::size_t kMaxTransactionBytes = 56 * 1024;
-
-/// Requires that a key has a certain modification revision when a transaction is applied.
-struct Compare {
-  std::string key;
-  Revision modRevision;  ///< Holds 0 if the key must not exist.
-};
-
-/// Sets or deletes one key in a transaction.
-struct Write {
-  std::string key;
-  std::optional<Json> value;     ///< Empty if the write deletes the key.
-  std::optional<LeaseId> lease;  ///< Names the lease whose expiry deletes the key, if any.
-};
-
-/// Describes a compare-and-swap transaction. All writes are applied together if all compares hold,
-/// and none is applied otherwise.
-struct Transaction {
-  std::vector<Compare> compares;
-  std::vector<Write> writes;
-  /// Holds the id of the user request that caused the transaction, or is empty.
-  std::string requestId{};
-};
-
 /// Describes the outcome of a transaction.
 enum class CommitOutcome {
   applied,   ///< The state service answered 200.
   conflict,  ///< The state service answered 409 and changed nothing.
   refused,   ///< The state service answered 429 or 503 and changed nothing.
   noLease,   ///< The state service answered 400 because the lease does not exist.
-  rejected,  ///< The state service answered 400 because the transaction is invalid.
+  rejected,  ///< The transaction is invalid. It was not sent, or the state service answered 400.
   unknown    ///< No usable answer arrived, so the transaction may or may not be applied.
 };
 
@@ -91,8 +66,11 @@
 /// Sends requests to the state service. Each method sends one request and calls `done` once.
 class StoreClient {
  public:
-  StoreClient(Runtime& runtime, HttpClient& http, std::string address, double requestsPerS);
+  StoreClient(Runtime& runtime, HttpClient& http, std::string address, double requestsPerS,
+              CommitLimits limits);
 
+  /// Sends the transaction, unless it exceeds the limits in force or was rejected before. The
+  /// outcome is then `rejected`.
   void commit(const Transaction& t, Duration timeout, std::function<void(CommitResult)> done);
   void changes(const std::string& prefix, Revision since, Duration timeout,
                std::function<void(ChangesResult)> done);
@@ -104,6 +82,9 @@
   void renewLease(LeaseId id, Duration timeout, std::function<void(LeaseOutcome)> done);
   void revokeLease(LeaseId id);
 
+  /// Returns the limits in force for transactions.
+  CommitLimits& limits() { return limits_; }
+
   /// Is called with the outcome of each transaction. The callback may be null.
   std::function<void(CommitOutcome)> onCommitOutcome;
 
@@ -116,6 +97,7 @@
   HttpClient& http_;
   std::string address_;
   TokenBucket budget_;
+  CommitLimits limits_;
 };
 
 }  // namespace kestrelhoist
--- a/src/store/records.cpp
+++ b/src/store/records.cpp
@@ -74,16 +74,21 @@
   return static_cast<std::uint32_t>(std::clamp<std::size_t>(fits, 8, TaskBits::kMaxBits));
 }
 
-std::size_t TaskChunkRecord::maxEncodedBytes() const {
-  std::size_t n = 64 + finished.hexSize();
-  const TaskPlacement* row = nullptr;
-  for (const auto& [index, p] : placed) {
-    n += 14;  // Bounds the bytes of a run, which at worst contains only this task.
-    if (!row || *row != p) n += p.machine.value.size() + 32;
-    row = &p;
-  }
-  n += failures.size() * 12 + (use.empty() ? 0 : 60);
-  return n;
+JobRecord endedRecordWithin(JobRecord record, std::size_t valueBytes) {
+  if (toJson(record).dump().size() <= valueBytes) return record;
+  JobSpec spec = *record.spec;
+  spec.dependsOn.clear();
+  spec.types.reset();
+  record.spec = std::make_shared<const JobSpec>(std::move(spec));
+  return record;
+}
+
+// At most, the placement adds a row, which has one run and follows another row.
+std::size_t maxPlacementBytes(std::uint32_t index, const TaskPlacement& placement) {
+  constexpr std::size_t kSeparatorBytes = 1;
+  const Json row = {placement.machine.value, placement.workerEpoch.value, placement.attempt.value,
+                    index, 1U};
+  return row.dump().size() + kSeparatorBytes;
 }
 
 Json toJson(const JobRecord& r) {
--- a/src/store/records.hpp
+++ b/src/store/records.hpp
@@ -27,7 +27,6 @@
   bool test(std::uint32_t offset) const;
   std::uint32_t count() const;
   std::string toHex() const;
-  std::size_t hexSize() const { return bytes_.size() * 2; }
   static std::optional<TaskBits> fromHex(const std::string& text);
 
  private:
@@ -87,10 +86,6 @@
   std::map<std::uint32_t, std::uint32_t> failures;
   /// Holds the total resource use of attempts that have ended. Only jobs of flows use this field.
   ResourceUse use;
-
-  /// Returns an upper bound of the record's size as JSON text, which is the size that the state
-  /// service limits. The bound holds until the finished bits need more bytes.
-  std::size_t maxEncodedBytes() const;
 };
 
 /// Returns how many tasks a chunk may have so that its record fits into `valueBytes` even if every
@@ -123,6 +118,12 @@
   std::string incarnation;  ///< Distinguishes successive processes of the same controller.
 };
 
+/// Returns the record of an ended job. If its JSON text is longer than `valueBytes`, the lists of
+/// dependencies and machine types are left out, because only unfinished jobs need them.
+JobRecord endedRecordWithin(JobRecord record, std::size_t valueBytes);
+/// Returns the most bytes of JSON text that a placement adds to a record of task placements.
+std::size_t maxPlacementBytes(std::uint32_t index, const TaskPlacement& placement);
+
 Json toJson(const JobRecord& r);
 Json toJson(const TaskChunkRecord& r);
 Json toJson(const RentalRecord& r);
