Divide a list of machine types that is longer than a value may be

Cause: the leader stores the list in one record, which was longer than a value may be. It was refused and sent again each second.

Change: a list that is longer than a value is divided into several records, each within the limit. The first has the form of an undivided list and is written last. All name the leader that divided the list, so that parts of two leaders are never put together. Versions before this one would take the first part for the whole, so the list is divided only once all controllers tell record format 3, which this version writes. A list that fits is written as before.

--- a/simulator/model/simulated_region.cpp
+++ b/simulator/model/simulated_region.cpp
@@ -90,7 +90,14 @@
                  {"ram_gb", settings.ram}, {"local_gb", 50},        {"pull_gb_per_s", 1.0},
                  {"rate", 10.0},           {"market_price", 3.0},   {"ready_s", settings.bootS},
                  {"sites", settings.zones}};
-    return jsonResponse(200, {{"rigs", Json::array({type})}});
+    Json types = Json::array({type});
+    // Nothing fits the further types; their names are as long as real ones.
+    for (int n = 1; n < settings.machineTypes; ++n) {
+      type["name"] = "general-purpose-type-" + std::to_string(n);
+      type["cpus"] = type["gpus"] = type["ram_gb"] = 0.001;
+      types.push_back(type);
+    }
+    return jsonResponse(200, {{"rigs", types}});
   }
   if (path == "/hosts" && q.method == "POST") {
     auto rental = body->at("hire").get<std::string>();
--- a/simulator/model/simulated_region.hpp
+++ b/simulator/model/simulated_region.hpp
@@ -16,7 +16,9 @@
   std::vector<std::string> zones{"a", "b", "c"};
   /// Workers send their reports to these controller addresses.
   std::vector<std::string> nodes;
-  /// The region has one machine type, which has these resources.
+  /// The cloud lists this many machine types. Tasks fit only the first one.
+  int machineTypes = 1;
+  /// The first machine type has these resources.
   double cpus = 8, gpus = 8, ram = 64;
   double bootS = 20;
   double fetchS = 2;
--- a/src/cloud/forecast_loop.cpp
+++ b/src/cloud/forecast_loop.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include "base/log.hpp"
 
@@ -25,8 +26,7 @@
     return builder.add(
         {{{key, context_.replica.modRevisionOf(key)}}, {{key, std::move(value), std::nullopt}}});
   };
-  if (context_.catalogue && !context_.replica.catalogue())
-    set(keys::kCatalogue, kestrelhoist::toJson(*context_.catalogue));
+  if (context_.catalogue && !context_.replica.catalogue()) addCatalogue(builder);
   const auto& suspected = fleet_.lastSuspectedZones();
   if (recordOutdated_ &&
       set(keys::kForecast, recordWithinLimit(context_.platform.valueBytes, suspected)) !=
@@ -39,6 +39,26 @@
   return LoopStep::committing(Commit{builder.take(), nullptr, "types or forecast"});
 }
 
+// Adds the records of the catalogue that are not written yet. The last one is written only after
+// all others.
+void ForecastLoop::addCatalogue(TransactionBuilder& builder) const {
+  const Json catalogue = kestrelhoist::toJson(*context_.catalogue);
+  const bool mayDivide =
+      context_.allMembersRead && context_.allMembersRead(kFormatWithCatalogueParts);
+  const std::size_t valueBytes =
+      mayDivide ? context_.platform.valueBytes : std::numeric_limits<std::size_t>::max();
+  const auto records = catalogueRecords(catalogue, valueBytes, context_.token);
+  bool complete = true;
+  for (const auto& record : records) {
+    if (context_.replica.catalogueRecords().has(record.key, record.value)) continue;
+    if (&record == &records.back() && !complete) return;
+    complete = false;
+    auto result = builder.add({{{record.key, context_.replica.modRevisionOf(record.key)}},
+                               {{record.key, record.value, std::nullopt}}});
+    if (result != TransactionBuilder::Result::added) return;
+  }
+}
+
 bool ForecastLoop::suspectedZonesChanged() const {
   const auto& suspected = fleet_.lastSuspectedZones();
   return !std::equal(suspected.begin(), suspected.end(), recordedSuspectedZones_.begin(),
--- a/src/cloud/forecast_loop.hpp
+++ b/src/cloud/forecast_loop.hpp
@@ -30,6 +30,7 @@
 
  private:
   void endInterval();
+  void addCatalogue(TransactionBuilder& builder) const;
   /// Returns whether the suspected zones differ from those in the last written record.
   bool suspectedZonesChanged() const;
   /// Returns the forecast record.
--- a/src/jobs/service.cpp
+++ b/src/jobs/service.cpp
@@ -82,7 +82,9 @@
 }
 
 const Catalogue* JobService::catalogue() const {
-  Revision modRevision = replica_.modRevisionOf(keys::kCatalogue);
+  // The first record is the last one to be written, but it may be read before the others.
+  const Revision modRevision =
+      replica_.catalogue() ? replica_.modRevisionOf(keys::kCatalogue) : Revision{};
   if (modRevision != catalogueRevision_) {
     catalogueRevision_ = modRevision;
     catalogue_ = replica_.catalogue() ? catalogueFromJson(*replica_.catalogue())
--- a/src/store/replica.cpp
+++ b/src/store/replica.cpp
@@ -85,8 +85,8 @@
     return;
   } else if (c.key == keys::kLeader) {
     leader_ = value ? leaderRecordFromJson(*value) : std::nullopt;
-  } else if (c.key == keys::kCatalogue) {
-    catalogue_ = c.value;
+  } else if (c.key.starts_with(keys::kCatalogue)) {
+    catalogue_.apply(c.key, value);
   } else if (c.key == keys::kForecast) {
     forecast_ = c.value;
   }
--- a/src/store/replica.hpp
+++ b/src/store/replica.hpp
@@ -12,6 +12,7 @@
 #include "flows/flow_replica.hpp"
 #include "members/job_index.hpp"
 #include "members/key_ring.hpp"
+#include "store/catalogue_record.hpp"
 #include "store/client.hpp"
 #include "store/job_state.hpp"
 #include "store/machine_index.hpp"
@@ -62,7 +63,9 @@
   const std::map<std::string, Revision>& orphanSubChunks() const { return orphanSubChunks_; }
   const std::optional<LeaderRecord>& leader() const { return leader_; }
   FencingToken leaderToken() const { return FencingToken{modRevisionOf(keys::kLeader).value}; }
-  const std::optional<Json>& catalogue() const { return catalogue_; }
+  /// Returns the machine types, or nothing if a part of their list has not been read.
+  const std::optional<Json>& catalogue() const { return catalogue_.whole(); }
+  const CatalogueRecords& catalogueRecords() const { return catalogue_; }
   const std::optional<Json>& forecast() const { return forecast_; }
   std::size_t teams() const { return teams_.size(); }
   std::uint32_t teamNumber(const TeamId& id) { return teams_.of(id); }
@@ -116,7 +119,7 @@
   std::map<std::string, Revision> orphanSubChunks_;
   MachineIndex machines_;
   std::optional<LeaderRecord> leader_;
-  std::optional<Json> catalogue_;
+  CatalogueRecords catalogue_;
   std::optional<Json> forecast_;
   FlowReplica flows_;
   KeyRing keyRing_;
--- a/src/versions/versions.hpp
+++ b/src/versions/versions.hpp
@@ -20,7 +20,7 @@
 
 /// Names the newest record format that this version of the program reads and writes. A controller
 /// without a version record supports format 1 only.
-inline constexpr unsigned kRecordFormat = 2;
+inline constexpr unsigned kRecordFormat = kFormatWithCatalogueParts;
 
 /// Holds the record formats that the controllers in the settings support, as read from their
 /// version records.
--- a/tests/scenario_faults.cpp
+++ b/tests/scenario_faults.cpp
@@ -59,10 +59,10 @@
                                                                {"reach", {2}},
                                                                {"disturb", {2}}};
   static const std::set<std::string> kOptions{
-      "nodes", "ordinary",   "spot",  "boot",     "bootfail", "gpusmax", "report",
-      "lease", "cancel",     "pace",  "balancer", "writes",   "fetch",   "valuekb",
-      "ops",   "flows",      "tasks", "gpus",     "cpus",     "wrong",   "ram",
-      "run",   "checkpoint", "due",   "soon",     "failed",   "pagerows"};
+      "nodes", "ordinary",   "spot",  "boot",     "bootfail", "gpusmax",  "report",
+      "lease", "cancel",     "pace",  "balancer", "writes",   "fetch",    "valuekb",
+      "ops",   "flows",      "tasks", "gpus",     "cpus",     "wrong",    "ram",
+      "run",   "checkpoint", "due",   "soon",     "failed",   "pagerows", "types"};
   static const std::set<std::string> kWords{
       "phase",  "leader",     "flow",  "underserved", "gone",    "waits",     "answered",
       "marked", "unanswered", "storm", "periods",     "settled", "nowaiting", "waiting"};
@@ -125,6 +125,8 @@
       settings_.fastBootShare = v;
     else if (key == "failed")  // The cloud lists a dead machine as failed after this time.
       settings_.failedAfterS = v;
+    else if (key == "types")
+      settings_.machineTypes = static_cast<int>(v);
     else if (key == "pagerows")  // This is the page size of the state service in rows.
       settings_.pageRows = static_cast<std::size_t>(v);
     else if (key == "gpusmax")
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -311,6 +311,7 @@
   simulator::RegionSettings r;
   r.zones = settings.zones;
   for (int i = 0; i < settings.nodes; ++i) r.nodes.push_back(nodeApi(i));
+  r.machineTypes = settings.machineTypes;
   r.cpus = settings.cpus;
   r.gpus = settings.gpus;
   r.ram = settings.ram;
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -36,6 +36,8 @@
   double fastBootShare = 0;
   /// A page of the state service has at most this many rows; 0 stands for the limit of PROTOCOL.
   std::size_t pageRows = 0;
+  /// The cloud lists this many machine types.
+  int machineTypes = 1;
   std::uint64_t seed = 1;
   double writesPerS = 25;
   int valueKb = 8, txnOps = 8;
