Answer an upload or a policy that is not UTF-8

Cause: the size of a part was the length of its JSON text, and the library throws for text that has none. The exception left the callback of a read.

Evidence: MessageFaults.TextThatIsNotUtf8IsAnswered fails on (no answer to either part nor to the policy).

Change: such text is answered 400 before anything is done with it.

--- a/src/base/codec.cpp
+++ b/src/base/codec.cpp
@@ -68,6 +68,14 @@
   return &*it;
 }
 
+bool hasJsonText(const Json& value) {
+  try {
+    return !value.dump().empty();
+  } catch (const Json::type_error&) {
+    return false;
+  }
+}
+
 std::optional<std::string> textOf(const Json& value) {
   if (!value.is_string()) return std::nullopt;
   const auto& text = value.get_ref<const std::string&>();
--- a/src/base/codec.hpp
+++ b/src/base/codec.hpp
@@ -28,6 +28,8 @@
 
 /// Returns a field of an object, or null if it is missing or JSON null.
 const Json* field(const Json& object, const char* name);
+/// Returns whether all text in the value is UTF-8, so that the value has a JSON text.
+[[nodiscard]] bool hasJsonText(const Json& value);
 /// Returns the text of a value, or nullopt if it is not a string or not UTF-8.
 std::optional<std::string> textOf(const Json& value);
 /// Returns the text of a field, or nullopt if it is missing or no UTF-8 text.
--- a/src/flows/service_uploads.cpp
+++ b/src/flows/service_uploads.cpp
@@ -75,7 +75,7 @@
   std::optional<Response> addPart(PartKind kind, const Json& entry) {
     auto number = countField(entry, "n");
     const Json* data = field(entry, "data");
-    if (!number || !data || !valid(kind, *number, *data)) {
+    if (!number || !data || !valid(kind, *number, *data) || !hasJsonText(*data)) {
       return errorResponse(400, "a part is malformed");
     }
     if (jsonBytes(*data) > valueBytes_) {
--- a/src/policy/service.cpp
+++ b/src/policy/service.cpp
@@ -23,7 +23,7 @@
   if (request.method != "POST" || path != "/mesh/policy") {
     respond(jsonResponse(405, {{"error", "wrong method"}}));
   } else if (!body || !body->is_object() || !textField(*body, "request") ||
-             !body->contains("document")) {
+             !body->contains("document") || !hasJsonText(*body)) {
     respond(jsonResponse(400, {{"error", "/: not a policy with a request's name"}}));
   } else {
     set(*body, respond);
--- a/tests/message_faults_test.cpp
+++ b/tests/message_faults_test.cpp
@@ -284,6 +284,27 @@
   EXPECT_TRUE(region.accepts(4, Duration{20000}));
 }
 
+// Guards against an upload or a policy that nobody answers, as an exception for text that is not
+// UTF-8 ends the callback of a read, and the ones after it.
+TEST(MessageFaults, TextThatIsNotUtf8IsAnswered) {
+  ControllerWithServices region(R"({"flows": {"enabled": true}})");
+  ASSERT_TRUE(region.accepts(1, Duration{20000}));
+  const auto& at = region.addresses();
+  const std::string digest = "0123456789abcdef";
+  const Json upload = {
+      {"version", digest}, {"instances", 1}, {"parts", 1}, {"texts", 1}, {"per_text", 1}};
+  ASSERT_EQ(region.ask(at.api, {"POST", "/v2/flows/w-1/uploads", encodeBody(upload)}), 201);
+  for (const Json& data : {Json("a\xff"), Json{{"rules\xff", Json::array()}}}) {
+    const char* list = data.is_string() ? "texts" : "graph";
+    const Json body = {{"version", digest}, {list, {{{"n", 0}, {"data", data}}}}};
+    EXPECT_EQ(region.ask(at.api, {"POST", "/v2/flows/w-1/parts", encodeBody(body)}), 400) << list;
+  }
+  const Json policy = {{"request", "r-1"}, {"document", {{"note\xff", 1}}}};
+  EXPECT_EQ(region.ask(at.mesh, {"POST", "/mesh/policy", encodeBody(policy)}), 400);
+  const Json sound = {{"version", digest}, {"texts", {{{"n", 0}, {"data", "a"}}}}};
+  EXPECT_EQ(region.ask(at.api, {"POST", "/v2/flows/w-1/parts", encodeBody(sound)}), 200);
+}
+
 // Guards against a controller that ends because of an answer of its state service, the cloud, a
 // peer or a worker, and against one that does not recover when the answers are sound again.
 TEST(MessageFaults, AControllerOutlivesDrawnAnswersToItsOwnRequests) {
