Flows: the step that advances a flow in functions of one job each

What is due, the ends of jobs, the choice of rules and batches, the new jobs and the end of the flow are functions now; the order of the changes stays as it was.

--- a/src/flows/flow_loop.cpp
+++ b/src/flows/flow_loop.cpp
@@ -289,93 +289,120 @@
   builder.set(keys::job(spec->id), toJson(record), Revision{});
 }
 
-// Records ended instances and creates jobs for ready instances in one transaction. The transaction
-// compares the revisions of the head, the pages and the jobs, and carries the leader's fencing
-// token.
-std::optional<Commit> FlowLoop::advance(const FlowId& id, const FlowState& flow, Run& run) {
-  Instant now = context_.runtime.now();
+// Adds the ends of the jobs that have ended, as far as they fit. Returns their number.
+std::size_t FlowLoop::endFinishedJobs(FlowTransaction& builder, const FlowState& flow, Run& run) {
+  std::size_t endedJobs = 0;
+  for (auto& [jobId, open] : run.jobs) {
+    const auto* job = context_.replica.job(jobId);
+    if (!open.unfinishedTasks.empty() || !canEnd(*job)) continue;
+    auto result = builder.add([&, &jobId = jobId, &open = open](FlowTransaction& t) {
+      endJob(t, flow, jobId, *job, &open, &run);
+    });
+    if (result == FlowTransaction::Result::full) break;
+    if (result == FlowTransaction::Result::added) ++endedJobs;
+  }
+  return endedJobs;
+}
+
+// Returns the rules that have ready instances, those with the highest priority first.
+std::vector<std::uint32_t> FlowLoop::readyRules(const FlowVersion& version, const Run& run) {
+  std::vector<std::uint32_t> rules;
+  for (std::uint32_t r = 0; r < version.graph.rules().size(); ++r) {
+    if (run.progress.readyCountOf(r) > 0) rules.push_back(r);
+  }
+  std::stable_sort(rules.begin(), rules.end(), [&](auto a, auto b) {
+    return version.graph.rules()[a].priority > version.graph.rules()[b].priority;
+  });
+  return rules;
+}
+
+// Returns the first of the ready instances from `from` on that one job can have. The later end of
+// the job must also fit in one transaction. The number of pages is therefore limited, even if the
+// ready instances are scattered over many pages.
+std::vector<Instance> FlowLoop::nextBatch(const std::vector<Instance>& ready,
+                                          std::size_t from) const {
+  std::vector<Instance> batch;
+  std::size_t pages = 0;
+  for (; from < ready.size() && batch.size() < tasksPerChunk(); ++from) {
+    bool newPage = batch.empty() || batch.back() / kPageSize != ready[from] / kPageSize;
+    if (newPage && pages == maxPagesPerJob()) break;
+    pages += newPage ? 1 : 0;
+    batch.push_back(ready[from]);
+  }
+  return batch;
+}
+
+// Adds jobs for ready instances, as far as they fit.
+FlowLoop::CreatedJobs FlowLoop::createReadyJobs(FlowTransaction& builder, const FlowId& id,
+                                                const FlowState& flow, Run& run) {
+  CreatedJobs created;
   const FlowVersion& version = *flow.version(run.graph);
-  std::size_t queued = 0, running = 0, ended = 0;
+  for (std::uint32_t rule : readyRules(version, run)) {
+    auto ready = run.progress.readyInstances(rule, run.progress.readyCountOf(rule));
+    std::sort(ready.begin(), ready.end());
+    for (std::size_t from = 0; from < ready.size();) {
+      const std::vector<Instance> batch = nextBatch(ready, from);
+      from += batch.size();
+      auto result =
+          builder.add([&](FlowTransaction& t) { createJob(t, id, flow, run, rule, batch); });
+      if (result == FlowTransaction::Result::full) return created;
+      if (result != FlowTransaction::Result::added) continue;
+      ++created.jobs;
+      created.instances += batch.size();
+    }
+  }
+  return created;
+}
+
+void FlowLoop::endFlow(FlowTransaction& builder, const FlowId& id, const FlowState& flow,
+                       const Run& run) const {
+  FlowHead head = *flow.head;
+  head.done = run.progress.count(Progress::State::done);
+  head.failed = run.progress.count(Progress::State::failed);
+  head.skipped = run.progress.count(Progress::State::skipped);
+  head.phase = head.failed > 0 ? FlowPhase::failed : FlowPhase::done;
+  auto result = builder.add([&](FlowTransaction& t) { t.endFlow(head); });
+  if (result != FlowTransaction::Result::added) return;
+  logInfo("flow ended", "flow", id, "done", head.done, "failed", head.failed, "skipped",
+          head.skipped);
+}
+
+// Returns which changes of the flow are due.
+FlowLoop::DueChanges FlowLoop::dueChanges(const Run& run) const {
+  const Instant now = context_.runtime.now();
+  BatchingInput input;
+  std::size_t ended = 0;
   Instant firstEndedAt{};
   for (const auto& [jobId, open] : run.jobs) {
     const auto* job = context_.replica.job(jobId);
-    queued += job->waitingCount();
-    running += job->placed.size();
+    input.queued += job->waitingCount();
+    input.running += job->placed.size();
     if (!open.unfinishedTasks.empty() || !canEnd(*job)) continue;
     if (ended++ == 0 || open.endedAt < firstEndedAt) firstEndedAt = open.endedAt;
   }
-  BatchingInput input;
-  input.ready = queued >= kMaxQueuedTasks ? 0 : run.progress.readyCount();
+  input.ready = input.queued >= kMaxQueuedTasks ? 0 : run.progress.readyCount();
   input.maxJobTasks = tasksPerChunk();
   input.oldestReadyAge = now - run.readySince;
-  input.queued = queued;
-  input.running = running;
   input.ended = run.progress.count(Progress::State::done);
   input.changes = run.changes;
-  bool createJobs = shouldCreateJobs(input);
-  bool over = run.progress.hasEnded();
-  if (!createJobs && !over && (ended == 0 || now - firstEndedAt < kMaxEndedJobDelay))
-    return std::nullopt;
+  DueChanges due;
+  due.newJobs = shouldCreateJobs(input);
+  due.endOfFlow = run.progress.hasEnded();
+  due.endsOfJobs = ended > 0 && now - firstEndedAt >= kMaxEndedJobDelay;
+  return due;
+}
 
-  FlowTransaction builder(context_, id, flow, version, run.graph);
-  // The transaction compares the revision of the head, so it fails if an amendment or a
-  // cancellation has been committed in the meantime.
-  std::size_t endedNow = 0, createdNow = 0, instances = 0;
-  for (auto& [jobId, open] : run.jobs) {
-    const auto* job = context_.replica.job(jobId);
-    if (!open.unfinishedTasks.empty() || !canEnd(*job)) continue;
-    auto result = builder.add([&, &job = *job, &jobId = jobId, &open = open](FlowTransaction& t) {
-      endJob(t, flow, jobId, job, &open, &run);
-    });
-    if (result == FlowTransaction::Result::full) break;
-    if (result == FlowTransaction::Result::added) ++endedNow;
-  }
-  if (createJobs) {
-    std::vector<std::uint32_t> rules;
-    for (std::uint32_t r = 0; r < version.graph.rules().size(); ++r) {
-      if (run.progress.readyCountOf(r) > 0) rules.push_back(r);
-    }
-    std::stable_sort(rules.begin(), rules.end(), [&](auto a, auto b) {
-      return version.graph.rules()[a].priority > version.graph.rules()[b].priority;
-    });
-    bool full = false;
-    for (std::uint32_t rule : rules) {
-      auto ready = run.progress.readyInstances(rule, run.progress.readyCountOf(rule));
-      std::sort(ready.begin(), ready.end());
-      for (std::size_t from = 0; from < ready.size() && !full;) {
-        // The later end of the job must also fit in one transaction. The number of pages is
-        // therefore limited, even if the ready instances are scattered over many pages.
-        std::vector<Instance> batch;
-        std::size_t pages = 0;
-        for (; from < ready.size() && batch.size() < tasksPerChunk(); ++from) {
-          bool newPage = batch.empty() || batch.back() / kPageSize != ready[from] / kPageSize;
-          if (newPage && pages == maxPagesPerJob()) break;
-          pages += newPage ? 1 : 0;
-          batch.push_back(ready[from]);
-        }
-        auto result =
-            builder.add([&](FlowTransaction& t) { createJob(t, id, flow, run, rule, batch); });
-        full = result == FlowTransaction::Result::full;
-        if (result == FlowTransaction::Result::added) {
-          ++createdNow;
-          instances += batch.size();
-        }
-      }
-      if (full) break;
-    }
-  }
-  if (over && endedNow == run.jobs.size()) {
-    FlowHead head = *flow.head;
-    head.done = run.progress.count(Progress::State::done);
-    head.failed = run.progress.count(Progress::State::failed);
-    head.skipped = run.progress.count(Progress::State::skipped);
-    head.phase = head.failed > 0 ? FlowPhase::failed : FlowPhase::done;
-    auto result = builder.add([&](FlowTransaction& t) { t.endFlow(head); });
-    if (result == FlowTransaction::Result::added) {
-      logInfo("flow ended", "flow", id, "done", head.done, "failed", head.failed, "skipped",
-              head.skipped);
-    }
-  }
+// Records ended instances and creates jobs for ready instances in one transaction. The transaction
+// compares the revisions of the head, the pages and the jobs, and carries the leader's fencing
+// token. So it fails if an amendment or a cancellation has been committed in the meantime.
+std::optional<Commit> FlowLoop::advance(const FlowId& id, const FlowState& flow, Run& run) {
+  const DueChanges due = dueChanges(run);
+  if (!due.newJobs && !due.endOfFlow && !due.endsOfJobs) return std::nullopt;
+  FlowTransaction builder(context_, id, flow, *flow.version(run.graph), run.graph);
+  const std::size_t ended = endFinishedJobs(builder, flow, run);
+  CreatedJobs created;
+  if (due.newJobs) created = createReadyJobs(builder, id, flow, run);
+  if (due.endOfFlow && ended == run.jobs.size()) endFlow(builder, id, flow, run);
   if (builder.empty()) return std::nullopt;
   std::size_t changes = builder.changes();
   std::vector<JobId> removedJobs = builder.removedJobs();
@@ -384,8 +411,8 @@
                   for (const auto& job : removedJobs) outcomes_.forgetJob(job);
                   if (auto r = runs_.find(id); r != runs_.end()) r->second.changes += changes;
                 },
-                "flow " + id.value + ": " + std::to_string(createdNow) + " jobs of " +
-                    std::to_string(instances) + " instances, " + std::to_string(endedNow) +
+                "flow " + id.value + ": " + std::to_string(created.jobs) + " jobs of " +
+                    std::to_string(created.instances) + " instances, " + std::to_string(ended) +
                     " jobs ended"};
 }
 
--- a/src/flows/flow_loop.hpp
+++ b/src/flows/flow_loop.hpp
@@ -47,6 +47,14 @@
     /// Counts the changes that this leader has written for the flow.
     std::size_t changes = 0;
   };
+  /// Tells which changes of a flow are due.
+  struct DueChanges {
+    bool newJobs = false, endsOfJobs = false, endOfFlow = false;
+  };
+  /// Counts the jobs that a transaction creates, and their instances.
+  struct CreatedJobs {
+    std::size_t jobs = 0, instances = 0;
+  };
   class FlowTransaction;
 
   void applyJobChange(const FlowId& id, const JobId& job);
@@ -66,6 +74,14 @@
               const OpenJob* open, Run* run);
   void createJob(FlowTransaction& builder, const FlowId& id, const FlowState& flow, Run& run,
                  std::uint32_t rule, const std::vector<Instance>& instances);
+  std::size_t endFinishedJobs(FlowTransaction& builder, const FlowState& flow, Run& run);
+  static std::vector<std::uint32_t> readyRules(const FlowVersion& version, const Run& run);
+  std::vector<Instance> nextBatch(const std::vector<Instance>& ready, std::size_t from) const;
+  CreatedJobs createReadyJobs(FlowTransaction& builder, const FlowId& id, const FlowState& flow,
+                              Run& run);
+  void endFlow(FlowTransaction& builder, const FlowId& id, const FlowState& flow,
+               const Run& run) const;
+  DueChanges dueChanges(const Run& run) const;
   bool canEnd(const JobState& job) const;
   /// Returns the maximum number of pages that the instances of one job may span. The transaction
   /// that ends a job also changes its job record, its task chunk and an account.
