--- a/src/store/catalogue_record.hpp
+++ b/src/store/catalogue_record.hpp
@@ -38,8 +38,8 @@
 
 /// Describes one record of a catalogue.
 struct CatalogueRecord {
-  std::string key;
-  Json value;
+  std::string key;  ///< Names the record's key.
+  Json value;       ///< Has the machine types of this part.
 };
 
 /// Divides the catalogue into records whose values have at most `valueBytes` of JSON text, in the
--- a/src/store/commit_limits.hpp
+++ b/src/store/commit_limits.hpp
@@ -26,6 +26,7 @@
   CommitLimits(const TransactionLimits& limits, std::size_t presentValueBytes)
       : limits_(limits), presentValueBytes_(presentValueBytes) {}
 
+  /// Returns the limits for new values.
   const TransactionLimits& limits() const { return limits_; }
   /// Returns the limit for values that an older version may have made larger than the announced
   /// limit. It falls to that limit once the state service rejects such a value.
@@ -66,8 +67,9 @@
 /// Adds parts to a transaction as long as it stays within the limits.
 class TransactionBuilder {
  public:
+  /// Tells what became of a part.
   enum class Result {
-    added,
+    added,      ///< The transaction has the part.
     full,       ///< The part belongs into the next transaction.
     unwritable  ///< The part fits into no transaction. It is set aside.
   };
@@ -78,7 +80,9 @@
   /// Adds the part, or changes nothing if the result is not `added`. A compare that the transaction
   /// has already is not added twice.
   Result add(const TransactionPart& part);
+  /// Returns whether the transaction has no writes.
   bool empty() const { return transaction_.writes.empty(); }
+  /// Returns the transaction. The builder must not be used afterwards.
   Transaction take() { return std::move(transaction_); }
 
  private:
--- a/src/store/transaction.hpp
+++ b/src/store/transaction.hpp
@@ -13,13 +13,13 @@
 
 /// Requires that a key has a certain modification revision when a transaction is applied.
 struct Compare {
-  std::string key;
+  std::string key;       ///< Names the key.
   Revision modRevision;  ///< Holds 0 if the key must not exist.
 };
 
 /// Sets or deletes one key in a transaction.
 struct Write {
-  std::string key;
+  std::string key;               ///< Names the key.
   std::optional<Json> value;     ///< Empty if the write deletes the key.
   std::optional<LeaseId> lease;  ///< Names the lease whose expiry deletes the key, if any.
 };
@@ -27,8 +27,8 @@
 /// Describes a compare-and-swap transaction. All writes are applied together if all compares hold,
 /// and none is applied otherwise.
 struct Transaction {
-  std::vector<Compare> compares;
-  std::vector<Write> writes;
+  std::vector<Compare> compares;  ///< Must all hold.
+  std::vector<Write> writes;      ///< Is applied as a whole.
   /// Holds the id of the user request that caused the transaction, or is empty.
   std::string requestId{};
   /// Counts the parts that could also be committed one by one (see TransactionPart).
@@ -37,12 +37,12 @@
 
 /// Holds writes that must be applied together, with the compares that they need.
 struct TransactionPart {
-  std::vector<Compare> compares;
-  std::vector<Write> writes;
+  std::vector<Compare> compares;  ///< Must all hold.
+  std::vector<Write> writes;      ///< Is applied as a whole.
 };
 
 /// The state service accepts at most this many bytes of JSON text in one transaction.
-inline constexpr std::size_t kMaxTransactionBytes = 64 * 1024;
+inline constexpr std::size_t kMaxTransactionBytes = std::size_t{64} * 1024;
 /// The state service accepts this many compares for each write that it allows in a transaction.
 inline constexpr std::size_t kComparesPerOperation = 4;
 /// The state service accepts keys of at most this many bytes.
@@ -53,19 +53,21 @@
   std::size_t operations{};  ///< Limits the writes.
   std::size_t valueBytes{};  ///< Limits the JSON text of each value.
 
+  /// Returns the limit for compares.
   std::size_t compares() const { return kComparesPerOperation * operations; }
 };
 
 /// Holds the quantities of a transaction that the state service limits.
 struct TransactionSize {
-  std::size_t operations{};
-  std::size_t compares{};
+  std::size_t operations{};         ///< Counts the writes.
+  std::size_t compares{};           ///< Counts the compares.
   std::size_t bytes{};              ///< Is the length of the whole transaction's JSON text.
   std::size_t largestValueBytes{};  ///< Is the length of the longest value's JSON text.
   bool hasInvalidKey = false;       ///< Is true if the state service accepts no such key.
 
   /// Adds further writes and compares, each with its separator.
   TransactionSize& operator+=(const TransactionSize& added);
+  /// Returns whether all quantities are equal.
   bool operator==(const TransactionSize&) const = default;
 };
 
