A placement's record stays below the length that was refused

By reading: a part that was set aside is sent again once its record has changed, but the record of a chunk grows with each placement up to the limit in the settings. If the state service's limit is lower, the same placement would be refused first each time, with one part a transaction ahead of all others. The record now stays below the length that was refused for it.

--- a/src/placement/placement_transaction.cpp
+++ b/src/placement/placement_transaction.cpp
@@ -46,6 +46,7 @@
   }
   size_ = together;
   draft.valueBytes = jsonBytes(*part.writes.front().value);
+  draft.setAsideFrom = commitLimits.setAsideFrom(part.writes.front().key);
   // The end of a flow's job is written by the flow's own transaction.
   if (draft.newlyFinished > 0 && !job.record.flow) newlyFinished_[id] += draft.newlyFinished;
   if (ends) ++endingJobs_;
@@ -73,7 +74,8 @@
   const std::size_t added = maxPlacementBytes(index, placement);
   const std::size_t valueLimit =
       isOversized(draft) ? context_.legacyValueBytes() : context_.platform.valueBytes;
-  if (draft.valueBytes + added > valueLimit || size_.bytes + added > kMaxTransactionBytes) {
+  if (draft.valueBytes + added > valueLimit || draft.valueBytes + added >= draft.setAsideFrom ||
+      size_.bytes + added > kMaxTransactionBytes) {
     return Result::full;
   }
   draft.valueBytes += added;
--- a/src/placement/placement_transaction.hpp
+++ b/src/placement/placement_transaction.hpp
@@ -67,6 +67,7 @@
     TaskChunkRecord record;
     /// This is the size of the record's value, or more if tasks were placed.
     std::size_t valueBytes = 0;
+    std::size_t setAsideFrom = 0;     ///< Values of this length were refused.
     std::uint32_t newlyFinished = 0;  ///< Counts the tasks that the draft marks as finished.
     bool hasPlacements = false;       ///< The transaction places tasks of this record.
     std::vector<EndedAttempt> endedAttempts{};  ///< Lists the attempts that the draft removes.
--- a/src/store/commit_limits.cpp
+++ b/src/store/commit_limits.cpp
@@ -41,6 +41,12 @@
          valueBytesOf(write) >= entry->second.valueBytes;
 }
 
+std::size_t CommitLimits::setAsideFrom(const std::string& key) const {
+  auto entry = setAside_.find(key);
+  return entry == setAside_.end() ? std::numeric_limits<std::size_t>::max()
+                                  : entry->second.valueBytes;
+}
+
 void CommitLimits::setAside(const TransactionPart& part, const std::string& why) {
   for (const auto& write : part.writes) {
     // Each write with a lease differs from the ones before it.
--- a/src/store/commit_limits.hpp
+++ b/src/store/commit_limits.hpp
@@ -38,6 +38,9 @@
   std::optional<std::string> refusalOf(const Transaction& transaction) const;
   /// Returns whether all writes of the part are set aside.
   bool isSetAside(const TransactionPart& part) const;
+  /// Returns the length from which on values of this key were last set aside, whatever the revision
+  /// of the record was, or the largest number if none was. A record that grows must stay below it.
+  std::size_t setAsideFrom(const std::string& key) const;
   /// Sets the writes of the part aside, and logs and counts them.
   void setAside(const TransactionPart& part, const std::string& why);
 
--- a/src/store/transaction_test.cpp
+++ b/src/store/transaction_test.cpp
@@ -228,6 +228,8 @@
   limits.onRejected({part.compares, part.writes}, "too large");
   limits.onRejected({part.compares, part.writes}, "too large");
   EXPECT_EQ(setAside, 1);
+  EXPECT_EQ(limits.setAsideFrom("kh/a"), 500U);
+  EXPECT_GT(limits.setAsideFrom("kh/b"), kMaxTransactionBytes);
   EXPECT_TRUE(limits.refusalOf({part.compares, part.writes}));
   EXPECT_TRUE(limits.refusalOf({part.compares, {writeOf("kh/a", 501)}}));
   EXPECT_FALSE(limits.refusalOf({part.compares, {writeOf("kh/a", 499)}}));
