Simulator: draw controllers' ports below those of outgoing connections

Cause: the system chose the ports from the range of outgoing connections. A controller also listens at offsets of its port, and a connection of another test had taken one.

Evidence, from the logs that the test keeps: node2 ended with "cannot listen on 127.0.0.1:54784" each second until 12:56:15; its port was 54561, and 223 is the offset of its metrics.

--- a/simulator/main.cpp
+++ b/simulator/main.cpp
@@ -43,23 +43,34 @@
   return o.freePortNumbers.empty() ? o.port + n : o.freePortNumbers[static_cast<std::size_t>(n)];
 }
 
-// Returns ports that were unused at the time of the call.
+// Returns a socket that is bound to the port, or -1 if the port is in use.
+int bindTo(int port) {
+  int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in name{};
+  name.sin_family = AF_INET;
+  name.sin_port = htons(static_cast<std::uint16_t>(port));
+  name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  if (bind(fd, reinterpret_cast<sockaddr*>(&name), sizeof name) == 0) return fd;
+  close(fd);
+  return -1;
+}
+
+// Returns ports that were unused at the time of the call. They lie below the ports of outgoing
+// connections, because one of these could take the port at an offset that a controller also needs.
 std::vector<int> freePorts(int count) {
+  constexpr int kFirst = 10000, kLast = 31000, kTries = 1000;
+  std::random_device random;
+  std::uniform_int_distribution<int> draw(kFirst, kLast);
   std::vector<int> fds, out;
-  for (int i = 0; i < count; ++i) {
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in name{};
-    name.sin_family = AF_INET;
-    name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof name;
-    if (bind(fd, reinterpret_cast<sockaddr*>(&name), size) != 0 ||
-        getsockname(fd, reinterpret_cast<sockaddr*>(&name), &size) != 0) {
-      throw std::runtime_error("no free ports on 127.0.0.1");
-    }
+  for (int i = 0; i < kTries && static_cast<int>(out.size()) < count; ++i) {
+    int port = draw(random);
+    int fd = bindTo(port);
+    if (fd < 0) continue;
     fds.push_back(fd);
-    out.push_back(ntohs(name.sin_port));
+    out.push_back(port);
   }
   for (int fd : fds) close(fd);
+  if (static_cast<int>(out.size()) < count) throw std::runtime_error("no free ports on 127.0.0.1");
   return out;
 }
 
