Simulator: replace a controller's settings file as a whole

Cause, by reading: the simulator writes the file anew at each start of a killed controller, while the test reads it; the file was empty for a moment. It is now written beside and renamed.

--- a/simulator/main.cpp
+++ b/simulator/main.cpp
@@ -132,7 +132,9 @@
 
   void start(int i) {
     std::string config = options_.directory + "/node" + std::to_string(i) + ".toml";
-    writeSettings(i, config);
+    // Tests read the file while a controller is started again, so it is replaced as a whole.
+    writeSettings(i, config + ".new");
+    std::filesystem::rename(config + ".new", config);
     std::string log = options_.directory + "/node" + std::to_string(i) + ".log";
     pid_t pid = fork();
     if (pid == 0) {
