Transactions: one decision whether a part fits, one way to write a job's end

Whether a part may stand alone, with its setting aside, and whether it fits beside others stood three times: in TransactionBuilder, in the transaction of ends and placements, and in that of flows. CommitLimits::admitsAlone and admitsTogether serve all three; setAside is private again. The record of a job that ends, with what it leaves out if it is too long or was refused, stood twice, in the leader's ends and in cancellations: endedJobWrite.

Also: a builder measures a part once, not twice; the limit for a record's placements is found once for each record, not for each placement; the delay after a refusal was the same as the other one; divideCatalogue is no longer called like the records that it returns.

--- a/src/app/leader.cpp
+++ b/src/app/leader.cpp
@@ -14,7 +14,6 @@
 constexpr double kLeaderWriteShare = 0.7;  // The rest is reserved for users' requests.
 constexpr Duration kCommitTimeout{1500};
 constexpr Duration kRetryDelay{200};
-constexpr Duration kRejectedRetryDelay{200};
 // Workers count as reachable if a request sent within this time has reached one of them.
 constexpr Duration kWorkersReachableWithin{3000};
 // These fields of the forecast record hold the suspected zones and the suspect jobs.
@@ -227,7 +226,7 @@
       logError("commit rejected", "what", sent->commit.what);
       // An earlier send may have been applied before the state service lowered its limits. The next
       // commit differs from this one, see CommitLimits.
-      context_.runtime.after(kRejectedRetryDelay,
+      context_.runtime.after(kRetryDelay,
                              context_.whileLeading([this, sent] { rereadRecords(sent); }));
       return;
     case CommitOutcome::refused:
--- a/src/cloud/forecast_loop.cpp
+++ b/src/cloud/forecast_loop.cpp
@@ -47,7 +47,7 @@
       context_.allMembersRead && context_.allMembersRead(kFormatWithCatalogueParts);
   const std::size_t valueBytes =
       mayDivide ? context_.platform.valueBytes : std::numeric_limits<std::size_t>::max();
-  const auto records = catalogueRecords(catalogue, valueBytes, context_.token);
+  const auto records = divideCatalogue(catalogue, valueBytes, context_.token);
   bool complete = true;
   for (const auto& record : records) {
     if (context_.replica.catalogueRecords().has(record.key, record.value)) continue;
--- a/src/flows/flow_transaction.hpp
+++ b/src/flows/flow_transaction.hpp
@@ -26,13 +26,10 @@
     change(*this);
     ++parts_;
     CommitLimits& commitLimits = context_->store.limits();
-    const auto limit = exceededLimit(size(), limits());
     const bool alone = before.empty();
-    if (!limit && parts_ <= commitLimits.maxParts() &&
-        !(alone && commitLimits.isSetAside(wholePart()))) {
-      return Result::added;
-    }
-    if (alone && limit) commitLimits.setAside(wholePart(), "limit exceeded: " + *limit);
+    const bool admitted = alone ? commitLimits.admitsAlone(wholePart(), size(), limits())
+                                : commitLimits.admitsTogether(parts_, size(), limits());
+    if (admitted) return Result::added;
     *this = std::move(before);
     return alone ? Result::unwritable : Result::full;
   }
--- a/src/jobs/service.cpp
+++ b/src/jobs/service.cpp
@@ -165,16 +165,12 @@
                                     const Request& request, const Respond& respond) {
   JobRecord record = job.record;
   record.phase = JobPhase::cancelled;
-  record = endedRecordWithin(std::move(record), platform_.valueBytes);
   Transaction transaction;
   transaction.requestId = request.id;
   // The transaction compares the revision that was read, so that it fails if a placement or the end
   // of the job is committed in between.
   transaction.compares.push_back({keys::job(id), job.modRevision});
-  transaction.writes.push_back({keys::job(id), toJson(record), std::nullopt});
-  if (store_.limits().isSetAside({transaction.compares, transaction.writes})) {
-    transaction.writes[0].value = toJson(endedRecordWithin(std::move(record), 0));
-  }
+  transaction.writes.push_back(endedJobWrite(id, record, job.modRevision, store_.limits()));
   store_.commit(
       transaction, kCommitTimeout,
       [this, id, transaction, triesLeft, request, respond](CommitResult result) {
--- a/src/placement/placement_transaction.cpp
+++ b/src/placement/placement_transaction.cpp
@@ -23,30 +23,28 @@
   if (drafts_.contains({id, range.first})) return Result::added;
   CommitLimits& commitLimits = context_.store.limits();
   // The operation limit must allow for this record and for the end of its job.
-  if (full_ || drafts_.size() >= commitLimits.maxParts() ||
-      drafts_.size() + endingJobs_ + 2 > limits_.operations) {
-    return Result::full;
-  }
+  if (full_ || drafts_.size() + endingJobs_ + 2 > limits_.operations) return Result::full;
   Draft draft{&job, range,
               context_.replica.tasksOf(job, range.first, range.last, !range.isSubChunk)};
   applyPendingOutcomes(id, draft, index);
   const bool ends = endsWith(id, job, draft.newlyFinished);
   const TransactionPart part = maxPartOf(id, draft, ends);
   const TransactionSize partSize = sizeOf(part);
-  if (auto limit = exceededLimit(sizeWith(emptySize_, partSize), limits_)) {
-    commitLimits.setAside(part, "limit exceeded: " + *limit);
+  if (!commitLimits.admitsAlone(part, sizeWith(emptySize_, partSize), limits_)) {
     return Result::unwritable;
   }
-  if (commitLimits.isSetAside(part)) return Result::unwritable;
   const TransactionSize together = sizeWith(size_, partSize);
-  if (exceededLimit(together, limits_)) {
+  if (!commitLimits.admitsTogether(drafts_.size() + 1, together, limits_)) {
     // The flag makes later refusals cheap, because thousands of placements may still be tried.
     full_ = true;
     return Result::full;
   }
   size_ = together;
   draft.valueBytes = jsonBytes(*part.writes.front().value);
-  draft.setAsideFrom = commitLimits.setAsideFrom(part.writes.front().key);
+  const std::size_t valueLimit =
+      isOversized(draft) ? context_.legacyValueBytes() : context_.platform.valueBytes;
+  draft.valueBytesBelow =
+      std::min(valueLimit + 1, commitLimits.setAsideFrom(part.writes.front().key));
   // The end of a flow's job is written by the flow's own transaction.
   if (draft.newlyFinished > 0 && !job.record.flow) newlyFinished_[id] += draft.newlyFinished;
   if (ends) ++endingJobs_;
@@ -72,9 +70,7 @@
   if (Result result = addRecord(id, job, index); result != Result::added) return result;
   Draft& draft = drafts_.at({id, rangeOf(job, index).first});
   const std::size_t added = maxPlacementBytes(index, placement);
-  const std::size_t valueLimit =
-      isOversized(draft) ? context_.legacyValueBytes() : context_.platform.valueBytes;
-  if (draft.valueBytes + added > valueLimit || draft.valueBytes + added >= draft.setAsideFrom ||
+  if (draft.valueBytes + added >= draft.valueBytesBelow ||
       size_.bytes + added > kMaxTransactionBytes) {
     return Result::full;
   }
@@ -132,7 +128,7 @@
 void PlacementTransaction::writeRecord(Transaction& transaction, const JobId& id,
                                        const Draft& draft, Written& written) const {
   for (auto& compare : recordCompares(id, draft)) {
-    if (written.comparedChunks.insert(compare.key).second) {
+    if (written.comparedRecords.insert(compare.key).second) {
       transaction.compares.push_back(std::move(compare));
     }
   }
@@ -174,12 +170,7 @@
   record.phase = JobPhase::done;
   // Jobs that depend on this one count their waiting time from this time on.
   record.endedAtMs = context_.runtime.wallMillis();
-  record = endedRecordWithin(std::move(record), context_.platform.valueBytes);
-  Write write{keys::job(id), toJson(record), std::nullopt};
-  if (context_.store.limits().isSetAside({{{write.key, job.modRevision}}, {write}})) {
-    write.value = toJson(endedRecordWithin(std::move(record), 0));
-  }
-  return write;
+  return endedJobWrite(id, record, job.modRevision, context_.store.limits());
 }
 
 bool PlacementTransaction::endsWith(const JobId& id, const JobState& job,
--- a/src/placement/placement_transaction.hpp
+++ b/src/placement/placement_transaction.hpp
@@ -67,7 +67,7 @@
     TaskChunkRecord record;
     /// This is the size of the record's value, or more if tasks were placed.
     std::size_t valueBytes = 0;
-    std::size_t setAsideFrom = 0;     ///< Values of this length were refused.
+    std::size_t valueBytesBelow = 0;  ///< Placements must keep the value below this size.
     std::uint32_t newlyFinished = 0;  ///< Counts the tasks that the draft marks as finished.
     bool hasPlacements = false;       ///< The transaction places tasks of this record.
     std::vector<EndedAttempt> endedAttempts{};  ///< Lists the attempts that the draft removes.
@@ -75,7 +75,7 @@
   /// Tracks which keys writeTo() has already appended, so that no compare or write is added twice.
   struct Written {
     std::set<JobId> comparedJobs, endedJobs;
-    std::set<std::string> comparedChunks;
+    std::set<std::string> comparedRecords;
   };
 
   TaskRange rangeOf(const JobState& job, std::uint32_t index) const;
--- a/src/policy/service.cpp
+++ b/src/policy/service.cpp
@@ -146,7 +146,7 @@
                toJson(*now)));
     }
     Transaction t = builder.take();
-    t.parts = 1;
+    t.parts = 1;  // The past version is kept by the same change as the new one.
     store_.commit(t, kCommitTimeout, [this, t, next, request, respond](CommitResult r) {
       switch (r.outcome) {
         case CommitOutcome::applied:
--- a/src/store/catalogue_record.cpp
+++ b/src/store/catalogue_record.cpp
@@ -16,10 +16,8 @@
   return part == 0 ? keys::kCatalogue : keys::kCatalogue + "/" + std::to_string(part);
 }
 
-// Returns a part without types. Only the first part has the number of parts in the end, but all of
-// them keep room for it.
-Json emptyPart(FencingToken writer, std::size_t parts) {
-  return {{kTypes, Json::array()}, {kWriter, writer.value}, {kParts, parts}};
+Json partWithoutTypes(FencingToken writer) {
+  return {{kTypes, Json::array()}, {kWriter, writer.value}};
 }
 
 }  // namespace
@@ -57,19 +55,21 @@
   return Json{{kTypes, std::move(types)}};
 }
 
-std::vector<CatalogueRecord> catalogueRecords(const Json& catalogue, std::size_t valueBytes,
-                                              FencingToken writer) {
+std::vector<CatalogueRecord> divideCatalogue(const Json& catalogue, std::size_t valueBytes,
+                                             FencingToken writer) {
   if (jsonBytes(catalogue) <= valueBytes) return {{keys::kCatalogue, catalogue}};
   constexpr std::size_t kSeparatorBytes = 1;
   const Json& types = catalogue.at(kTypes);
-  const std::size_t emptyBytes = jsonBytes(emptyPart(writer, types.size()));
+  // Only the first part has the number of parts, but all of them keep room for it.
+  Json longestPart = partWithoutTypes(writer);
+  longestPart[kParts] = types.size();
+  const std::size_t emptyBytes = jsonBytes(longestPart);
   std::vector<CatalogueRecord> records;
   std::size_t bytes = 0;
   for (const auto& type : types) {
     const std::size_t added = jsonBytes(type) + kSeparatorBytes;
     if (records.empty() || bytes + added > valueBytes) {
-      records.push_back({keyOfPart(records.size()), {{kTypes, Json::array()}}});
-      records.back().value[kWriter] = writer.value;
+      records.push_back({keyOfPart(records.size()), partWithoutTypes(writer)});
       bytes = emptyBytes;
     }
     bytes += added;
--- a/src/store/catalogue_record.hpp
+++ b/src/store/catalogue_record.hpp
@@ -44,7 +44,7 @@
 
 /// Divides the catalogue into records whose values have at most `valueBytes` of JSON text, in the
 /// order in which they must be written. A machine type that is longer has a record of its own.
-std::vector<CatalogueRecord> catalogueRecords(const Json& catalogue, std::size_t valueBytes,
-                                              FencingToken writer);
+std::vector<CatalogueRecord> divideCatalogue(const Json& catalogue, std::size_t valueBytes,
+                                             FencingToken writer);
 
 }  // namespace kestrelhoist
--- a/src/store/catalogue_record_test.cpp
+++ b/src/store/catalogue_record_test.cpp
@@ -33,7 +33,7 @@
   EXPECT_TRUE(rc::check([] {
     const auto valueBytes = *rc::gen::element<std::size_t>(1024, 2048, 8192);
     const Json catalogue = catalogueOf(*rc::gen::inRange(1, 120), *rc::gen::inRange(1, 100));
-    auto records = catalogueRecords(catalogue, valueBytes, FencingToken{9});
+    auto records = divideCatalogue(catalogue, valueBytes, FencingToken{9});
     for (const auto& record : records) RC_ASSERT(jsonBytes(record.value) <= valueBytes);
     RC_ASSERT((records.size() == 1) == (jsonBytes(catalogue) <= valueBytes));
     RC_ASSERT(records.back().key == keys::kCatalogue);
@@ -52,8 +52,8 @@
 
 // Guards against a list of types from two leaders: the parts of one that ended count as missing.
 TEST(CatalogueRecords, PartsOfTwoWritersAreNotPutTogether) {
-  const auto first = catalogueRecords(catalogueOf(60, 20), 1024, FencingToken{4});
-  const auto second = catalogueRecords(catalogueOf(60, 21), 1024, FencingToken{7});
+  const auto first = divideCatalogue(catalogueOf(60, 20), 1024, FencingToken{4});
+  const auto second = divideCatalogue(catalogueOf(60, 21), 1024, FencingToken{7});
   ASSERT_GT(first.size(), 2U);
   CatalogueRecords read;
   for (const auto& record : second) read.apply(record.key, &record.value);
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -85,7 +85,7 @@
   /// Returns the limits in force for transactions.
   CommitLimits& limits() { return limits_; }
 
-  /// Is called with the outcome of each transaction. The callback may be null.
+  /// Is called with the outcome of each transaction that was sent. The callback may be null.
   std::function<void(CommitOutcome)> onCommitOutcome;
 
   /// Takes one request from this controller's share of the state service's rate limit. Returns
--- a/src/store/commit_limits.cpp
+++ b/src/store/commit_limits.cpp
@@ -47,6 +47,20 @@
                                   : entry->second.valueBytes;
 }
 
+bool CommitLimits::admitsAlone(const TransactionPart& part, const TransactionSize& size,
+                               const TransactionLimits& limits) {
+  if (auto limit = exceededLimit(size, limits)) {
+    setAside(part, "limit exceeded: " + *limit);
+    return false;
+  }
+  return !isSetAside(part);
+}
+
+bool CommitLimits::admitsTogether(std::size_t parts, const TransactionSize& size,
+                                  const TransactionLimits& limits) const {
+  return parts <= maxParts_ && !exceededLimit(size, limits);
+}
+
 void CommitLimits::setAside(const TransactionPart& part, const std::string& why) {
   for (const auto& write : part.writes) {
     // Each write with a lease differs from the ones before it.
@@ -92,26 +106,26 @@
 }
 
 TransactionBuilder::Result TransactionBuilder::add(const TransactionPart& part) {
-  TransactionPart added{{}, part.writes};
+  TransactionSize added = sizeOf(TransactionPart{{}, part.writes});
+  TransactionSize alone = added;
+  std::vector<Compare> newCompares;
   for (const auto& compare : part.compares) {
+    const TransactionSize size = sizeOf(compare);
+    alone += size;
     bool known = std::any_of(transaction_.compares.begin(), transaction_.compares.end(),
                              [&](const Compare& c) { return c.key == compare.key; });
-    if (!known) added.compares.push_back(compare);
-  }
-  if (auto limit = exceededLimit(sizeWith(emptySize_, sizeOf(part)), limits_.limits())) {
-    limits_.setAside(part, "limit exceeded: " + *limit);
-    return Result::unwritable;
-  }
-  if (limits_.isSetAside(part)) return Result::unwritable;
-  const TransactionSize together = sizeWith(size_, sizeOf(added));
-  if (transaction_.parts >= limits_.maxParts() || exceededLimit(together, limits_.limits())) {
-    return Result::full;
+    if (known) continue;
+    added += size;
+    newCompares.push_back(compare);
   }
+  const TransactionLimits& limits = limits_.limits();
+  if (!limits_.admitsAlone(part, sizeWith(emptySize_, alone), limits)) return Result::unwritable;
+  const TransactionSize together = sizeWith(size_, added);
+  if (!limits_.admitsTogether(transaction_.parts + 1, together, limits)) return Result::full;
   size_ = together;
   ++transaction_.parts;
-  transaction_.compares.insert(transaction_.compares.end(), added.compares.begin(),
-                               added.compares.end());
-  for (auto& write : added.writes) transaction_.writes.push_back(std::move(write));
+  transaction_.compares.insert(transaction_.compares.end(), newCompares.begin(), newCompares.end());
+  transaction_.writes.insert(transaction_.writes.end(), part.writes.begin(), part.writes.end());
   return Result::added;
 }
 
--- a/src/store/commit_limits.hpp
+++ b/src/store/commit_limits.hpp
@@ -31,8 +31,6 @@
   /// Returns the limit for values that an older version may have made larger than the announced
   /// limit. It falls to that limit once the state service rejects such a value.
   std::size_t presentValueBytes() const { return presentValueBytes_; }
-  /// Returns how many parts a transaction may have.
-  std::size_t maxParts() const { return maxParts_; }
 
   /// Returns why the transaction must not be sent, or nothing if it may be sent.
   std::optional<std::string> refusalOf(const Transaction& transaction) const;
@@ -41,8 +39,15 @@
   /// Returns the length from which on values of this key were last set aside, whatever the revision
   /// of the record was, or the largest number if none was. A record that grows must stay below it.
   std::size_t setAsideFrom(const std::string& key) const;
-  /// Sets the writes of the part aside, and logs and counts them.
-  void setAside(const TransactionPart& part, const std::string& why);
+  /// Returns whether a transaction may have this part and no other. If it may not, the part is set
+  /// aside.
+  /// @param size The size of that transaction.
+  /// @param limits The limits for the part, which may have the form of an older version.
+  bool admitsAlone(const TransactionPart& part, const TransactionSize& size,
+                   const TransactionLimits& limits);
+  /// Returns whether a transaction may have so many parts and this size.
+  bool admitsTogether(std::size_t parts, const TransactionSize& size,
+                      const TransactionLimits& limits) const;
 
   /// Notes that the state service applied the transaction.
   void onApplied();
@@ -60,6 +65,8 @@
     std::size_t valueBytes{};
   };
   bool isSetAside(const Write& write, const std::vector<Compare>& compares) const;
+  /// Sets the writes of the part aside, and logs and counts them.
+  void setAside(const TransactionPart& part, const std::string& why);
 
   TransactionLimits limits_;
   std::size_t presentValueBytes_;
--- a/src/store/records.cpp
+++ b/src/store/records.cpp
@@ -74,13 +74,20 @@
   return static_cast<std::uint32_t>(std::clamp<std::size_t>(fits, 8, TaskBits::kMaxBits));
 }
 
-JobRecord endedRecordWithin(JobRecord record, std::size_t valueBytes) {
-  if (toJson(record).dump().size() <= valueBytes) return record;
+Write endedJobWrite(const JobId& id, const JobRecord& record, Revision revision,
+                    const CommitLimits& limits) {
+  Write write{keys::job(id), toJson(record), std::nullopt};
+  if (jsonBytes(*write.value) <= limits.limits().valueBytes &&
+      !limits.isSetAside({{{write.key, revision}}, {write}})) {
+    return write;
+  }
   JobSpec spec = *record.spec;
   spec.dependsOn.clear();
   spec.types.reset();
-  record.spec = std::make_shared<const JobSpec>(std::move(spec));
-  return record;
+  JobRecord shorter = record;
+  shorter.spec = std::make_shared<const JobSpec>(std::move(spec));
+  write.value = toJson(shorter);
+  return write;
 }
 
 // At most, the placement adds a row, which has one run and follows another row.
@@ -88,7 +95,7 @@
   constexpr std::size_t kSeparatorBytes = 1;
   const Json row = {placement.machine.value, placement.workerEpoch.value, placement.attempt.value,
                     index, 1U};
-  return row.dump().size() + kSeparatorBytes;
+  return jsonBytes(row) + kSeparatorBytes;
 }
 
 Json toJson(const JobRecord& r) {
--- a/src/store/records.hpp
+++ b/src/store/records.hpp
@@ -14,6 +14,7 @@
 #include "flows/records.hpp"
 #include "jobs/spec.hpp"
 #include "members/records.hpp"
+#include "store/commit_limits.hpp"
 #include "store/record_keys.hpp"
 
 namespace kestrelhoist {
@@ -118,9 +119,12 @@
   std::string incarnation;  ///< Distinguishes successive processes of the same controller.
 };
 
-/// Returns the record of an ended job. If its JSON text is longer than `valueBytes`, the lists of
-/// dependencies and machine types are left out, because only unfinished jobs need them.
-JobRecord endedRecordWithin(JobRecord record, std::size_t valueBytes);
+/// Returns the write of the record of a job that ends. If the record is longer than a value may be,
+/// or was set aside, the lists of dependencies and machine types are left out, because only
+/// unfinished jobs need them.
+/// @param revision The revision of the job's record, which the caller compares.
+Write endedJobWrite(const JobId& id, const JobRecord& record, Revision revision,
+                    const CommitLimits& limits);
 /// Returns the most bytes of JSON text that a placement adds to a record of task placements.
 std::size_t maxPlacementBytes(std::uint32_t index, const TaskPlacement& placement);
 
