Tests: copies of direct commands that were carried out and answered

The network of the tests copied reports only. Workers now also get copies of direct commands after they answered them (`command_copies`, `meet copied`, `--command-copies` of the simulator for real processes), and the checker has a rule `started_again`: a worker launches an attempt a second time in one session. `beside` knows four more troubles, and scenarios may bound the tasks in a report and ask for a least number of changes.

--- a/simulator/host/process_tasks.cpp
+++ b/simulator/host/process_tasks.cpp
@@ -32,6 +32,10 @@
 
 void ProcessTasks::describe(Worker& worker, const Worker::Task& task,
                             std::function<void(std::optional<TaskNeeds>)> done) {
+  if (task.isRelaunch) {
+    logError("attempt launched a second time", "machine", worker.host, "job", task.job, "index",
+             task.index, "attempt", task.attempt);
+  }
   if (auto needs = describeFromSharedFiles(worker, task)) return done(needs);
   if (task.job.starts_with("m-")) return done(std::nullopt);
   if (task.job.starts_with("j-")) return done(describeFromJobDirectory(worker, task));
--- a/simulator/main.cpp
+++ b/simulator/main.cpp
@@ -35,10 +35,14 @@
   int killEveryMs = 0;
   int restartDelayMs = 1000;
   int cutLinks = 0, cutEveryMs = 500;
+  double commandCopies = 0;
   // With --port 0 this holds the free ports that the system chose.
   std::vector<int> freePortNumbers;
 };
 
+// Copies of direct commands arrive within this time after the worker answered the command.
+constexpr std::int64_t kFirstCopyMs = 500, kLastCopyMs = 10000;
+
 int portOf(const Options& o, int n) {
   return o.freePortNumbers.empty() ? o.port + n : o.freePortNumbers[static_cast<std::size_t>(n)];
 }
@@ -254,6 +258,9 @@
                  "number of machines to kill, each at a randomly chosen task start");
   app.add_option("--cut-links", o.cutLinks,
                  "number of times to cut one network link of a controller, at random times");
+  app.add_option("--command-copies", o.commandCopies,
+                 "share of the direct commands of which a copy arrives up to 10 s later")
+      ->check(CLI::Range(0.0, 1.0));
   app.add_option("--cut-every-ms", o.cutEveryMs, "average interval in ms between cuts");
   app.footer(
       "Example: hoist-region --directory /tmp/region --program target/kestrelhoist --operator "
@@ -299,6 +306,7 @@
     SimulatedRegion region(settings, clock, transport, random, tasks);
     region.state.valueBytes = 16 * 1024;
     region.state.transactionOps = 24;
+    region.commandCopies = {o.commandCopies, kFirstCopyMs, kLastCopyMs};
     Controllers controllers(loop, o, links);
     for (int i = 0; i < o.controllers; ++i) controllers.start(i);
 
--- a/simulator/model/simulated_region.hpp
+++ b/simulator/model/simulated_region.hpp
@@ -36,6 +36,14 @@
   bool lateChanges = false;
 };
 
+/// Makes the network deliver direct commands a second time: of this share of the commands that a
+/// worker has carried out and answered, a copy arrives after a delay drawn from the range in
+/// milliseconds. Nobody receives the answer to the copy.
+struct CommandCopies {
+  double share = 0;
+  std::int64_t fromMs = 0, toMs = 0;
+};
+
 /// Holds the resources that one task needs; the TaskHost keeps the rest of its description.
 struct TaskNeeds {
   double cpus{}, gpus{};
@@ -56,6 +64,8 @@
   void start();
   Json report();
   Response onCommands(const Request& q);
+  /// Delivers a copy of the request later if SimulatedRegion::commandCopies draws it.
+  void mayCopyCommands(const Request& q);
   void die();
   void hang(std::int64_t ms);
   void notice(std::int64_t ms);
@@ -84,6 +94,8 @@
     /// Identifies this task attempt on its worker, so that timers of earlier attempts have no
     /// effect.
     std::uint64_t executionId{};
+    /// The worker has launched this attempt before in its present session.
+    bool isRelaunch{};
     TaskNeeds needs;
     /// The TaskHost has returned the task's needs.
     bool hasNeeds{};
@@ -126,6 +138,8 @@
   bool hasUnreportedChange_ = false;
   std::uint64_t heartbeatTimer_ = 0, lastExecutionId_ = 0;
   std::set<std::string> cachedImages_;
+  /// Contains the tasks and attempts that were launched in the present session.
+  std::set<std::pair<std::string, std::uint64_t>> launchedAttempts_;
 };
 
 /// Defines and executes the tasks of simulated workers.
@@ -169,7 +183,10 @@
   TaskHost& taskHost;
   StateService state;
   std::map<std::string, std::unique_ptr<Worker>> workers;
+  CommandCopies commandCopies;
   std::int64_t cloudOutageUntil = 0;
+  /// Is the largest number of tasks in any report of a worker so far.
+  std::size_t mostReportedTasks = 0;
   std::size_t rentedMachineCount = 0;
   std::size_t rentalRequests = 0;
 
--- a/simulator/model/worker.cpp
+++ b/simulator/model/worker.cpp
@@ -14,7 +14,10 @@
   region_.transport.listen(host + ":9",
                            [this](const std::string&, const Request& q, const Respond& r) {
                              whenAwake([this, q, r] {
-                               if (!isDead) r(onCommands(q));
+                               if (isDead) return;
+                               const Response answer = onCommands(q);
+                               if (answer.status == 200) mayCopyCommands(q);
+                               r(answer);
                              });
                            });
   scheduleHeartbeat(1);
@@ -61,6 +64,7 @@
 }
 
 Json Worker::report() {
+  region_.mostReportedTasks = std::max(region_.mostReportedTasks, tasks.size());
   Json list = Json::array();
   for (const auto& t : tasks) {
     Json v = {
@@ -180,6 +184,7 @@
            "last_answered_ms", lastAcknowledgedSentAt_, "tasks", tasks.size());
   for (const auto& t : tasks) region_.taskHost.end(*this, t);
   tasks.clear();
+  launchedAttempts_.clear();
   ++session_;
   reportSequence_ = 0;
   lastAcknowledgedSentAt_ = region_.clock.now();
@@ -197,6 +202,20 @@
   return jsonResponse(200, report());
 }
 
+void Worker::mayCopyCommands(const Request& q) {
+  const CommandCopies& copies = region_.commandCopies;
+  if (copies.share <= 0 || !std::bernoulli_distribution(copies.share)(region_.random)) return;
+  std::uniform_int_distribution<std::int64_t> delay(copies.fromMs, copies.toMs);
+  region_.clock.in(delay(region_.random), [this, q] {
+    whenAwake([this, q] {
+      if (isDead) return;
+      const Response answer = onCommands(q);
+      logDebug("simulated worker receives a copy of direct commands", "machine", host, "status",
+               answer.status, "at_ms", region_.clock.now());
+    });
+  });
+}
+
 Worker::Task* Worker::findExecution(std::uint64_t executionId) {
   for (auto& t : tasks) {
     if (t.executionId == executionId) return &t;
@@ -242,6 +261,7 @@
   t.attempt = attempt;
   t.state = "fetching";
   t.executionId = ++lastExecutionId_;
+  t.isRelaunch = !launchedAttempts_.emplace(name, attempt).second;
   bool inUse = false;
   for (const auto& other : tasks) {
     inUse = inUse || (other.state != "ended" && other.job == t.job && other.index == t.index);
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -231,6 +231,28 @@
   if (!HasFailure()) fs::remove_all(directory);
 }
 
+// Guards against a copy of an answered launch that starts a task a second time.
+TEST(LoopbackCopies, OfAnsweredLaunchesStartNothing) {
+  char name[] = "/tmp/kestrelhoist-loopback-XXXXXX";
+  ASSERT_NE(mkdtemp(name), nullptr);
+  const std::string directory = name;
+  {
+    RegionProcess region(directory, std::string(SOURCE_PATH) + "/deploy/flows.json",
+                         {"--command-copies", "1", "--kill-machines", "1", "--seed", "3"});
+    ASSERT_FALSE(region.servers.empty()) << "the region did not come up, see " << directory;
+    Driver driver(region);
+    const std::string path = std::string(SOURCE_PATH) + "/examples/herbarium/Snakefile";
+    EXPECT_FALSE(driver.jobByJob("herbarium", path, "by-hand").files.empty());
+    constexpr int kPausesUntilLastCopy = 60;
+    for (int i = 0; i < kPausesUntilLastCopy; ++i) driver.pause();
+  }
+  std::ifstream in(directory + "/region.log");
+  std::ostringstream log;
+  log << in.rdbuf();
+  EXPECT_EQ(log.str().find("attempt launched a second time"), std::string::npos);
+  if (!HasFailure()) fs::remove_all(directory);
+}
+
 INSTANTIATE_TEST_SUITE_P(Loopback, LoopbackTest,
                          testing::Values(std::pair("herbarium", "herbarium/Snakefile"),
                                          std::pair("audit", "audit/Makefile")),
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -82,6 +82,7 @@
       {"late_writes", &Scenario::delayWrites},
       {"held", &Scenario::delayCommands},
       {"copies", &Scenario::duplicateReports},
+      {"command_copies", &Scenario::duplicateCommands},
       {"capacity", &Scenario::setCapacity},
       {"dieshare", &Scenario::endShareOfMachines},
       {"die", &Scenario::endMachine},
--- a/tests/scenario.hpp
+++ b/tests/scenario.hpp
@@ -72,6 +72,7 @@
   void delayWrites(const Line& line);
   void delayCommands(const Line& line);
   void duplicateReports(const Line& line);
+  void duplicateCommands(const Line& line);
   void setCapacity(const Line& line);
   void endShareOfMachines(const Line& line);
   void endMachine(const Line& line);
--- a/tests/scenario_expect.cpp
+++ b/tests/scenario_expect.cpp
@@ -47,6 +47,7 @@
       {"hires", &ScenarioExpect::expectRentalCalls},
       {"hired", &ScenarioExpect::expectRentedMachines},
       {"toolarge", &ScenarioExpect::expectTooLargeTransactions},
+      {"reportedtasks", &ScenarioExpect::expectReportedTasks},
       {"changesof", &ScenarioExpect::expectChangesOfKind},
       {"writes", &ScenarioExpect::expectWrites},
       {"reads", &ScenarioExpect::expectReads},
--- a/tests/scenario_expect.hpp
+++ b/tests/scenario_expect.hpp
@@ -56,6 +56,7 @@
   void expectChangesPerInstance(const Line& line);
 
   // These check controllers, machines and the state service (scenario_expect_cluster.cpp).
+  void expectReportedTasks(const Line& line);
   void expectLeaderships(const Line& line);
   void expectLeader(const Line& line);
   void expectVersionsKnown(const Line& line);
--- a/tests/scenario_expect_cluster.cpp
+++ b/tests/scenario_expect_cluster.cpp
@@ -11,6 +11,11 @@
   EXPECT_LE(world_->leaderships - leadershipsBefore_, std::stoi(words.at(3)));
 }
 
+// expect reportedtasks most N: checks that no report of a worker contained more than N tasks.
+void ScenarioExpect::expectReportedTasks(const Line& line) {
+  EXPECT_LE(world_->region.mostReportedTasks, std::stoul(line.words.at(3)));
+}
+
 // expect leader [unmarked]: checks that a controller leads and, with `unmarked`, that it is not the
 // one that `mark` named.
 void ScenarioExpect::expectLeader(const Line& line) {
@@ -99,10 +104,15 @@
             << ", 400: " << world_->state.rejectedForSize << "\n";
 }
 
-// expect changesof KIND most N: checks that at most N changes to keys of this kind were committed.
+// expect changesof KIND most|least N: checks how many changes to keys of this kind were committed.
 void ScenarioExpect::expectChangesOfKind(const Line& line) {
   const auto& words = line.words;
-  EXPECT_LE(world_->changesByKind[words.at(2)], std::stoul(words.at(4)));
+  const auto changes = world_->changesByKind[words.at(2)];
+  if (words.at(3) == "least") {
+    EXPECT_GE(changes, std::stoul(words.at(4)));
+  } else {
+    EXPECT_LE(changes, std::stoul(words.at(4)));
+  }
 }
 
 // expect writes most N: checks that the state service committed at most N changes so far.
--- a/tests/scenario_fault_combinations.cpp
+++ b/tests/scenario_fault_combinations.cpp
@@ -84,6 +84,12 @@
                         static_cast<std::int64_t>(settings_.leaseS * 1000) + pick(8000));
     cancelThroughOthers(pick(ms));
     if (pick(2)) crashAt(pick(ms), "leader", pick(900));
+  } else if (what == "copied") {  // Commands that were carried out and answered arrive once more.
+    w.region.commandCopies = {0.5, 500, 60000};
+    w.clock.in(ms, [&w] { w.region.commandCopies = {}; });
+    cancelThroughOthers(pick(ms));
+    if (pick(2)) crashAt(pick(ms), "leader", pick(900));
+    if (pick(2)) w.clock.in(pick(ms), [this] { hangOne(pick(1000)); });
   } else if (what == "launch") {  // The direct launches of the next placement are delayed.
     w.state.onCommit = [this, &w, ms, before = w.state.onCommit,
                         begun = false](const Json& writes) mutable {
--- a/tests/scenario_faults.cpp
+++ b/tests/scenario_faults.cpp
@@ -26,6 +26,7 @@
                                                                {"crash", {2}},
                                                                {"crashes", {2, 3, 4}},
                                                                {"copies", {1, 2, 3}},
+                                                               {"command_copies", {1, 2, 3}},
                                                                {"beside", {2}},
                                                                {"dieshare", {1}},
                                                                {"alone", {3}},
@@ -252,6 +253,18 @@
   if (what == "abort") w.abort("j-000005");
   if (what == "deaf") blockMessagesToZone("b", CutMode::hold, ms);
   if (what == "lone") isolate("other", "hold", ms);
+  if (what == "back") {  // The leader and a machine are back within a second.
+    crash("leader", 200);
+    if (auto host = busyMachine("busy"); w.workers.contains(host)) w.workers[host]->hang(700);
+  }
+  if (what == "deposed") w.state.rejectRequestsFrom("node" + std::to_string(nodeOf("leader")), ms);
+  if (what == "answers") {
+    w.network.responseLossShare = 0.1;
+    w.clock.in(ms, [&w] { w.network.responseLossShare = 0; });
+  }
+  if (what == "mute") {
+    for (const auto& host : group("zone-b")) w.network.blockRequestsFrom(host, true, ms);
+  }
 }
 
 void ScenarioFaults::crashAtElectionStep(const std::string& step, const std::string& member) {
--- a/tests/scenario_steps_machines.cpp
+++ b/tests/scenario_steps_machines.cpp
@@ -96,6 +96,14 @@
                                       toMilliseconds(words.at(3))};
 }
 
+// command_copies SHARE FROM TO: delivers a copy of this share of the direct commands FROM TO
+// seconds after the worker has carried them out and answered.
+void Scenario::duplicateCommands(const Line& line) {
+  const auto& words = line.words;
+  world_->region.commandCopies = {std::stod(words.at(1)), toMilliseconds(words.at(2)),
+                                  toMilliseconds(words.at(3))};
+}
+
 // capacity spot|ordinary PER_ZONE: sets how many machines of this market each zone can provide.
 void Scenario::setCapacity(const Line& line) {
   world_->region.setCapacity(line.words.at(1) == "spot", std::stoi(line.words.at(2)));
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -364,6 +364,10 @@
     fail("older_attempt", task.job + "/" + std::to_string(task.index) + " try " +
                               std::to_string(task.attempt) + " on " + worker.host);
   }
+  if (task.isRelaunch) {
+    fail("started_again", task.job + "/" + std::to_string(task.index) + " try " +
+                              std::to_string(task.attempt) + " on " + worker.host);
+  }
   if (task.job.starts_with("f-")) return fetchFlowTask(worker, task, 8, std::move(done));
   const JobPlan* p = plan(task.job);
   if (!p || task.index >= p->tasks) return done(std::nullopt);
