Log each command to a worker with what it rests on, and tell an attempt that comes back

From the records of the incident it could not be told why attempt 361 was cleared and why it started again: the leader logged how many commands it sent, not which. Each launch, stop and clear is now a debug line with the task, machine, path (direct or in the answer to a heartbeat), token, the worker's token, epoch and the report that led to it. A worker that reports an attempt again after its `clear` was carried out is an error in the log and counts in `cleared_attempts_reported_total`, since a task may then have run on two machines.

--- a/src/app/controller_leadership.cpp
+++ b/src/app/controller_leadership.cpp
@@ -120,6 +120,7 @@
   context.onCommandsRepeated = [this] { countRepeat("commands"); };
   if (metrics_) {
     context.onLostBySilence = [this](Duration silence) { metrics_->terminationRequested(silence); };
+    context.onClearedAttemptReported = [this] { metrics_->clearedAttemptReported(); };
     context.onLeaseEndProbe = [this](const char* answer) { metrics_->leaseEndProbed(answer); };
   }
   leader_ = std::make_unique<Leader>(context, planner_, policyReplica_, [this](const ZoneId& zone) {
--- a/src/app/leader.cpp
+++ b/src/app/leader.cpp
@@ -5,6 +5,7 @@
 #include "app/pending_explanation.hpp"
 #include "base/log.hpp"
 #include "dependencies/projected_demand.hpp"
+#include "fleet/command_log.hpp"
 #include "store/commit_confirmation.hpp"
 
 namespace kestrelhoist {
@@ -55,6 +56,7 @@
   logInfo("became leader", "token", context_.token, "member", context_.platform.member);
   connectLoops();
   fleet_.onLostBySilence = context_.onLostBySilence;
+  fleet_.onClearedAttemptReported = context_.onClearedAttemptReported;
   if (context_.replica.catalogue()) {
     context_.catalogue = catalogueFromJson(*context_.replica.catalogue());
   }
@@ -293,10 +295,7 @@
     scheduleCycle();
   }
   outcomes_.noteOutcomes(m);
-  if (!commands.empty()) {
-    logDebug("heartbeat answered with commands", "machine", report.machine, "commands",
-             commands.size());
-  }
+  logCommands("heartbeat", report, context_.token, commands);
   if (changesTasks(commands)) repeater_.expectConfirmation(report.machine, now);
   return jsonResponse(200, reportResponseToJson(context_.token, commands));
 }
--- a/src/fleet/command_dispatcher.cpp
+++ b/src/fleet/command_dispatcher.cpp
@@ -3,7 +3,7 @@
 #include <utility>
 #include <vector>
 
-#include "base/log.hpp"
+#include "fleet/command_log.hpp"
 #include "fleet/direct_answer.hpp"
 
 namespace kestrelhoist {
@@ -40,8 +40,7 @@
                              std::vector<WorkerCommand> commands) {
   const WorkerEpoch workerEpoch = session.lastReport->workerEpoch;
   Request request = commandRequest(context_.token, workerEpoch, commands);
-  logDebug("direct commands sent to worker", "machine", id, "worker_epoch", workerEpoch, "commands",
-           commands.size());
+  logCommands("direct", *session.lastReport, context_.token, commands);
   context_.workers.send(
       session.lastReport->address, std::move(request), kDirectTimeout,
       context_.whileLeading([this, id, workerEpoch, commands = std::move(commands)](
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -86,12 +86,23 @@
     ++reportingCount_;
     logRegistration(machine);
   }
+  reportReappeared(machine);
   applyNotice(machine, now);
   updateImageCache(machine);
   updateFirstSeenRunning(machine, now);
   return true;
 }
 
+void Fleet::reportReappeared(Machine& machine) const {
+  const Report& report = *machine.session.lastReport;
+  for (const auto& attempt : machine.session.clearedAttempts.onReport(report)) {
+    logError("worker reports an attempt again that it had cleared", "task", attempt.str(),
+             "machine", machine.id, "token", token_, "worker_token", report.token, "worker_epoch",
+             report.workerEpoch, "report_sequence", report.sequence);
+    if (onClearedAttemptReported) onClearedAttemptReported();
+  }
+}
+
 void Fleet::logRegistration(const Machine& machine) const {
   const Report& report = *machine.session.lastReport;
   logInfo("worker registered", "machine", machine.id, "zone", machine.zone, "spot", machine.spot,
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -159,6 +159,9 @@
   /// This callback receives, for each machine that is terminated because it no longer reports, the
   /// time since its newest sign of life.
   std::function<void(Duration silence)> onLostBySilence;
+  /// This callback runs for each attempt that a worker reports again after it was cleared; it may
+  /// be null.
+  std::function<void()> onClearedAttemptReported;
   /// Returns the time at which the newest report of any worker arrived.
   Instant newestReportAt() const { return newestReportAt_; }
   /// Returns whether new tasks may be placed on the machine.
@@ -196,6 +199,8 @@
   DesiredState desiredStateUnderNotice(const Machine& machine, const AttemptId& id,
                                        const JobSpec& spec, Instant now) const;
   void updateLease(const Report& report, const MemberId& receivedBy, Instant now);
+  /// Logs and counts the attempts that were started again after they were cleared.
+  void reportReappeared(Machine& machine) const;
   void logRegistration(const Machine& machine) const;
   void applyNotice(Machine& machine, Instant now) const;
   void updateFirstSeenRunning(Machine& machine, Instant now) const;
--- a/src/fleet/reconcile.cpp
+++ b/src/fleet/reconcile.cpp
@@ -118,6 +118,7 @@
     } else if (!session_.unacknowledgedLaunches.contains(task.id)) {
       // The record no longer contains the attempt, so its end is committed.
       add(WorkerCommand::Operation::clear, task.id);
+      session_.clearedAttempts.onClear(task.id);
     }
   }
 
@@ -152,6 +153,7 @@
   if (session.lastReport && report.workerEpoch > session.lastReport->workerEpoch) {
     // In a new worker epoch the worker refuses direct commands that name an earlier epoch.
     session.unacknowledgedLaunches.clear();
+    session.clearedAttempts.onNewWorkerEpoch();
     session.launchSequences.clear();
     session.lastHeartbeatSequence = {};
   }
--- a/src/fleet/reconcile.hpp
+++ b/src/fleet/reconcile.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <set>
 
+#include "fleet/cleared_attempts.hpp"
 #include "fleet/heartbeat_messages.hpp"
 #include "store/replica.hpp"
 
@@ -40,6 +41,7 @@
   /// answer to another command with the same launch proves nothing about this one, because the two
   /// may take different paths.
   std::multiset<AttemptId> unacknowledgedLaunches;
+  ClearedAttempts clearedAttempts;
   /// Maps each attempt to stop to the time that it may use to save its state.
   std::map<AttemptId, Duration> stopRequests;
   /// Holds the proven outcomes that are still to be committed.
--- a/src/leadership/leader_context.hpp
+++ b/src/leadership/leader_context.hpp
@@ -60,6 +60,8 @@
   /// Is called, for each machine declared dead because its heartbeats stopped, with the time since
   /// its last heartbeat. It may be null.
   std::function<void(Duration)> onLostBySilence{};
+  /// Is called for each attempt that a worker reports again after it was cleared. It may be null.
+  std::function<void()> onClearedAttemptReported{};
   /// Is called when commands are sent to a machine again. It may be null.
   std::function<void()> onCommandsRepeated{};
   /// Is called with the name of the outcome of each probe sent when a worker's lease expires. It
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -41,6 +41,10 @@
       family<prometheus::Counter>(registry, "writes_set_aside_total",
                                   "writes that the state service accepts in no transaction")
           .Add({});
+  prometheus::Counter& clearedAttemptsReported =
+      family<prometheus::Counter>(registry, "cleared_attempts_reported_total",
+                                  "attempts that a worker reported again after it cleared them")
+          .Add({});
   prometheus::Family<prometheus::Counter>& repeats = family<prometheus::Counter>(
       registry, "repeats_total",
       "requests sent once more as nobody had answered, by what they are");
@@ -83,6 +87,8 @@
   families_->silence.Observe(toSeconds(silence));
 }
 
+void Metrics::clearedAttemptReported() { families_->clearedAttemptsReported.Increment(); }
+
 void Metrics::leaseEndProbed(const char* answer) {
   families_->leaseEndProbes.Add({{"answer", answer}}).Increment();
 }
--- a/src/metrics/metrics.hpp
+++ b/src/metrics/metrics.hpp
@@ -53,6 +53,10 @@
   /// "none".
   void leaseEndProbed(const char* answer);
 
+  /// Counts an attempt that a worker reported again after it was cleared, which means that a task
+  /// may have run on two machines at once.
+  void clearedAttemptReported();
+
   /// Returns the present values of the gauges. If it is not set, no gauges are rendered.
   std::function<MetricGauges()> gauges;
   /// Returns all metrics in the Prometheus text format.
