Keep an attempt with its worker while a copy of its direct launch may arrive

The launch of an attempt was sent directly, carried out and answered; the task ended in error, its attempt was cleared and the task was placed elsewhere. 13.3 s after it was answered the command arrived once more. Its token and session still matched, the worker had forgotten the attempt, and started it.

Cause: an answer was taken as proof that the message can't arrive again. `CommandDispatcher` took an answered launch off the list of those that may arrive, and `reconcile` cleared every ended attempt off that list. The protocol names no bound for late messages, and a worker accepts a command while token and session match.

Fix: `DirectLaunches` keeps each direct launch, answered or not, until its worker has reported a later epoch or a higher token than the command carried; only then the attempt is cleared. Until then the worker knows it as ended, and a copy does nothing. What ends an unanswered launch is as before.

The order of commits on one worker makes no difference: attempts are never used again.

--- a/src/fleet/command_dispatcher.cpp
+++ b/src/fleet/command_dispatcher.cpp
@@ -29,7 +29,7 @@
   });
   if (commands.empty()) return false;
   for (const auto& command : commands) {
-    if (isLaunch(command)) session.unacknowledgedLaunches.insert(command.id);
+    if (isLaunch(command)) session.directLaunches.onSent(command.id, context_.token);
   }
   send(id, session, std::move(commands));
   if (onSent) onSent(id);
@@ -38,38 +38,32 @@
 
 void CommandDispatcher::send(const MachineId& id, const WorkerSession& session,
                              std::vector<WorkerCommand> commands) {
-  const WorkerEpoch workerEpoch = session.lastReport->workerEpoch;
-  Request request = commandRequest(context_.token, workerEpoch, commands);
-  logCommands("direct", *session.lastReport, context_.token, commands);
-  context_.workers.send(
-      session.lastReport->address, std::move(request), kDirectTimeout,
-      context_.whileLeading([this, id, workerEpoch, commands = std::move(commands)](
-                                const std::optional<Response>& response) {
-        Machine* machine = fleet_.find(id);
-        if (!machine || !response) return;  // Without an answer, the launches may still arrive.
-        onResponse(*machine, workerEpoch, commands, *response);
-      }));
+  SentCommands sent{context_.token, session.lastReport->workerEpoch, std::move(commands)};
+  Request request = commandRequest(sent.token, sent.workerEpoch, sent.commands);
+  logCommands("direct", *session.lastReport, sent.token, sent.commands);
+  context_.workers.send(session.lastReport->address, std::move(request), kDirectTimeout,
+                        context_.whileLeading([this, id, sent = std::move(sent)](
+                                                  const std::optional<Response>& response) {
+                          Machine* machine = fleet_.find(id);
+                          // Without an answer, the launches may still arrive.
+                          if (!machine || !response) return;
+                          onResponse(*machine, sent, *response);
+                        }));
 }
 
-void CommandDispatcher::onResponse(Machine& machine, WorkerEpoch workerEpoch,
-                                   const std::vector<WorkerCommand>& commands,
+void CommandDispatcher::onResponse(Machine& machine, const SentCommands& sent,
                                    const Response& response) {
   if (response.status != 200 && response.status != 409 && response.status != 400) return;
-  noteAcknowledged(machine.session, workerEpoch, commands);
+  noteAnswered(machine.session, sent);
   if (response.status == 400) return;
   if (applyDirectAnswer(fleet_, machine, response, context_.runtime.now())) onReport(machine);
 }
 
-// Records that a command was answered: each of its launches has arrived or will never arrive.
-void CommandDispatcher::noteAcknowledged(WorkerSession& session, WorkerEpoch workerEpoch,
-                                         const std::vector<WorkerCommand>& commands) {
-  if (!session.lastReport || session.lastReport->workerEpoch != workerEpoch) return;
-  auto& unacknowledged = session.unacknowledgedLaunches;
-  for (const auto& command : commands) {
-    if (!isLaunch(command)) continue;
-    if (auto own = unacknowledged.find(command.id); own != unacknowledged.end()) {
-      unacknowledged.erase(own);
-    }
+// An answered launch cannot arrive for the first time any more, but a copy of it still can.
+void CommandDispatcher::noteAnswered(WorkerSession& session, const SentCommands& sent) {
+  if (!session.lastReport || session.lastReport->workerEpoch != sent.workerEpoch) return;
+  for (const auto& command : sent.commands) {
+    if (isLaunch(command)) session.directLaunches.onAnswered(command.id, sent.token);
   }
 }
 
--- a/src/fleet/command_dispatcher.hpp
+++ b/src/fleet/command_dispatcher.hpp
@@ -29,11 +29,14 @@
   std::function<void(Machine&)> onReport;
 
  private:
+  struct SentCommands {
+    FencingToken token;
+    WorkerEpoch workerEpoch;
+    std::vector<WorkerCommand> commands;
+  };
   void send(const MachineId& id, const WorkerSession& session, std::vector<WorkerCommand> commands);
-  void onResponse(Machine& machine, WorkerEpoch workerEpoch,
-                  const std::vector<WorkerCommand>& commands, const Response& response);
-  static void noteAcknowledged(WorkerSession& session, WorkerEpoch workerEpoch,
-                               const std::vector<WorkerCommand>& commands);
+  void onResponse(Machine& machine, const SentCommands& sent, const Response& response);
+  static void noteAnswered(WorkerSession& session, const SentCommands& sent);
 
   LeaderContext& context_;
   Fleet& fleet_;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -37,7 +37,7 @@
     : platform_(platform),
       replica_(replica),
       leaseTerms_(leaseTermsOf(platform)),
-      token_(token),
+      tokens_{token, token},
       leaderSince_(now),
       newestReportAt_(now),
       failureDetector_(*this, platform, replica, now) {}
@@ -97,8 +97,8 @@
   const Report& report = *machine.session.lastReport;
   for (const auto& attempt : machine.session.clearedAttempts.onReport(report)) {
     logError("worker reports an attempt again that it had cleared", "task", attempt.str(),
-             "machine", machine.id, "token", token_, "worker_token", report.token, "worker_epoch",
-             report.workerEpoch, "report_sequence", report.sequence);
+             "machine", machine.id, "token", tokens_.newest, "worker_token", report.token,
+             "worker_epoch", report.workerEpoch, "report_sequence", report.sequence);
     if (onClearedAttemptReported) onClearedAttemptReported();
   }
 }
@@ -156,7 +156,7 @@
   std::erase_if(machine.session.stopRequests, isOffRecord);
   std::erase_if(machine.session.launchSequences, isOffRecord);
   bool launch = mayLaunch && !(record && record->draining);
-  return reconcile(machine.session, record, token_, launch,
+  return reconcile(machine.session, record, tokens_, launch,
                    [&](const AttemptId& id) { return desiredStateOf(machine, id, now); });
 }
 
@@ -240,7 +240,7 @@
   if (!machine.hasReported() || machine.terminationRequested || machine.terminationNoticeEnds ||
       machine.notReportingSince || isFaulty(machine))
     return false;
-  if (machine.session.lastReport->token != token_) return false;
+  if (!tokens_.contains(machine.session.lastReport->token)) return false;
   if (now - machine.session.lastReportAt > 2 * platform_.reportEvery + Duration{1000}) return false;
   const auto* record = replica_.machine(machine.id);
   return record && !record->draining;
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -216,7 +216,7 @@
   const Platform& platform_;
   const Replica& replica_;
   const LeaseTerms leaseTerms_;
-  FencingToken token_;
+  TokenRange tokens_;
   Instant leaderSince_;
   Instant newestReportAt_{};
   std::map<MachineId, Machine> machines_;
--- a/src/fleet/reconcile.cpp
+++ b/src/fleet/reconcile.cpp
@@ -34,12 +34,12 @@
 // Performs one comparison of a machine's record with the newest report of its worker.
 class Reconciliation {
  public:
-  Reconciliation(WorkerSession& session, const MachineState* record, FencingToken token,
+  Reconciliation(WorkerSession& session, const MachineState* record, const TokenRange& tokens,
                  bool mayLaunch, const std::function<DesiredState(const AttemptId&)>& desired)
       : session_(session),
         report_(*session.lastReport),
         record_(record),
-        token_(token),
+        tokens_(tokens),
         mayLaunch_(mayLaunch),
         desired_(desired) {}
 
@@ -47,6 +47,7 @@
     if (record_) {
       for (const auto& placed : record_->tasks) reconcilePlaced(placed);
     }
+    session_.retainedAttempts = 0;
     for (const auto& task : report_.tasks) {
       if (!record_ || !record_->find(task.id)) reconcileUnrecorded(task);
     }
@@ -91,10 +92,10 @@
 
   // Handles an attempt that is to be stopped and that the worker does not report.
   void proveAbsent(const AttemptId& id) {
-    // A report with another token proves nothing: the worker may still obey an earlier leader's
-    // commands, or may receive a launch in the answer to this report.
-    if (report_.token != token_) return;
-    if (session_.unacknowledgedLaunches.contains(id)) {
+    // A report with a token of another leader proves nothing: the worker may still obey that
+    // leader's commands, or may receive a launch in the answer to this report.
+    if (!tokens_.contains(report_.token)) return;
+    if (session_.directLaunches.isUnanswered(id)) {
       addLaunchAndStop(commands_, id);
       session_.launchSequences[id] = report_.sequence;
       return;
@@ -115,7 +116,9 @@
     if (task.state != TaskState::ended) {
       // An attempt without a record must not run on this machine.
       add(WorkerCommand::Operation::stop, task.id);
-    } else if (!session_.unacknowledgedLaunches.contains(task.id)) {
+    } else if (session_.directLaunches.mayArrive(task.id)) {
+      ++session_.retainedAttempts;
+    } else {
       // The record no longer contains the attempt, so its end is committed.
       add(WorkerCommand::Operation::clear, task.id);
       session_.clearedAttempts.onClear(task.id);
@@ -125,7 +128,7 @@
   WorkerSession& session_;
   const Report& report_;
   const MachineState* record_;
-  const FencingToken token_;
+  const TokenRange tokens_;
   const bool mayLaunch_;
   const std::function<DesiredState(const AttemptId&)>& desired_;
   std::vector<WorkerCommand> commands_;
@@ -152,11 +155,14 @@
   }
   if (session.lastReport && report.workerEpoch > session.lastReport->workerEpoch) {
     // In a new worker epoch the worker refuses direct commands that name an earlier epoch.
-    session.unacknowledgedLaunches.clear();
+    session.directLaunches.onNewWorkerEpoch();
     session.clearedAttempts.onNewWorkerEpoch();
     session.launchSequences.clear();
     session.lastHeartbeatSequence = {};
   }
+  if (session.lastReport && report.token > session.lastReport->token) {
+    session.directLaunches.onTokenSeen(report.token);
+  }
   if (isHeartbeat) noteHeartbeat(session, report, now);
   session.lastReport = report;
   session.lastReportAt = now;
@@ -164,10 +170,10 @@
 }
 
 std::vector<WorkerCommand> reconcile(WorkerSession& session, const MachineState* record,
-                                     FencingToken token, bool mayLaunch,
+                                     const TokenRange& tokens, bool mayLaunch,
                                      const std::function<DesiredState(const AttemptId&)>& desired) {
   if (!session.lastReport) return {};
-  return Reconciliation(session, record, token, mayLaunch, desired).run();
+  return Reconciliation(session, record, tokens, mayLaunch, desired).run();
 }
 
 std::vector<WorkerCommand> leaseOnlyCommands(const Report& report, const MachineState* record,
--- a/src/fleet/reconcile.hpp
+++ b/src/fleet/reconcile.hpp
@@ -6,9 +6,9 @@
 
 #include <functional>
 #include <map>
-#include <set>
 
 #include "fleet/cleared_attempts.hpp"
+#include "fleet/direct_launches.hpp"
 #include "fleet/heartbeat_messages.hpp"
 #include "store/replica.hpp"
 
@@ -17,6 +17,16 @@
 /// Says why a task attempt no longer runs on its machine.
 enum class AttemptOutcome { done, stopped, failed, refused, lost };
 
+/// Holds the tokens that a leader has used since its election. A worker that has seen one of them
+/// obeys commands of this leader only.
+struct TokenRange {
+  FencingToken first;   ///< Is the token of the election.
+  FencingToken newest;  ///< Is the token of new commands.
+
+  /// Returns whether the worker with this highest token obeys this leader only.
+  bool contains(FencingToken token) const { return first <= token && token <= newest; }
+};
+
 /// Holds the leader's state of one worker between two of the worker's reports.
 struct WorkerSession {
   /// Is the newest report, either a heartbeat or the answer to a direct command.
@@ -34,14 +44,14 @@
   /// report at that time. Only a report with a higher number can prove that the attempt is absent
   /// from the worker.
   std::map<AttemptId, ReportSequence> launchSequences;
-  /// Contains the attempts for which a direct launch command got no answer, so that the launch may
-  /// still arrive. The leader accepts only the state `ended` as proof that such an attempt does not
-  /// run, and never sends `clear` for it, because a worker that forgot the attempt would start it
-  /// again when the launch arrives. An attempt is contained once for each unanswered command: an
-  /// answer to another command with the same launch proves nothing about this one, because the two
-  /// may take different paths.
-  std::multiset<AttemptId> unacknowledgedLaunches;
+  /// Contains the direct launches that may arrive, for the first time or once more. The leader
+  /// never sends `clear` for such an attempt, because a worker that forgot it would start it again.
+  /// If a launch is unanswered, the leader accepts only the state `ended` as proof that the attempt
+  /// does not run.
+  DirectLaunches directLaunches;
   ClearedAttempts clearedAttempts;
+  /// Counts the reported attempts that have ended, are no longer recorded and must not be cleared.
+  std::size_t retainedAttempts = 0;
   /// Maps each attempt to stop to the time that it may use to save its state.
   std::map<AttemptId, Duration> stopRequests;
   /// Holds the proven outcomes that are still to be committed.
@@ -64,7 +74,7 @@
 /// machine has no record. `mayLaunch` says whether the commands may include launches. `desired` is
 /// called for each recorded attempt without a proven outcome.
 std::vector<WorkerCommand> reconcile(WorkerSession& session, const MachineState* record,
-                                     FencingToken token, bool mayLaunch,
+                                     const TokenRange& tokens, bool mayLaunch,
                                      const std::function<DesiredState(const AttemptId&)>& desired);
 
 /// Says whether a controller's records show that a job is over. `notReadBack` means that a commit
--- a/src/fleet/reconcile_test.cpp
+++ b/src/fleet/reconcile_test.cpp
@@ -9,6 +9,7 @@
 namespace kestrelhoist {
 namespace {
 
+const TokenRange kTokens{FencingToken{5}, FencingToken{5}};
 const AttemptId kTask{{JobId{"j-000001"}, 3}, Attempt{7}};
 
 struct Fixture : testing::Test {
@@ -27,7 +28,7 @@
   }
   std::vector<WorkerCommand> applyHeartbeat(const Report& r, bool mayLaunch = true) {
     updateSession(session, r, Instant{0});
-    return reconcile(session, &record, FencingToken{5}, mayLaunch, [&](const AttemptId&) {
+    return reconcile(session, &record, kTokens, mayLaunch, [&](const AttemptId&) {
       return DesiredState{stop, Duration{0}};
     });
   }
@@ -78,7 +79,7 @@
   stop = true;
   auto direct = [&](const Report& r) {
     updateSession(session, r, Instant{0}, false);
-    reconcile(session, &record, FencingToken{5}, false, [&](const AttemptId&) {
+    reconcile(session, &record, kTokens, false, [&](const AttemptId&) {
       return DesiredState{stop, Duration{0}};
     });
   };
@@ -94,7 +95,7 @@
 }
 
 TEST_F(Fixture, ALateDirectLaunchIsMadeHarmlessBeforeTheTaskIsGivenUp) {
-  session.unacknowledgedLaunches.insert(kTask);
+  session.directLaunches.onSent(kTask, FencingToken{5});
   stop = true;
   auto commands = applyHeartbeat(report(2, 1, 5));
   EXPECT_FALSE(hasProvenOutcome());
@@ -116,9 +117,9 @@
 // Two commands with the same launch may take different paths, so the answer to one proves nothing
 // about the other.
 TEST_F(Fixture, AnAttemptStaysInDoubtForEachCommandWithoutAnAnswer) {
-  session.unacknowledgedLaunches.insert(kTask);
-  session.unacknowledgedLaunches.insert(kTask);
-  session.unacknowledgedLaunches.erase(session.unacknowledgedLaunches.find(kTask));
+  session.directLaunches.onSent(kTask, FencingToken{5});
+  session.directLaunches.onSent(kTask, FencingToken{5});
+  session.directLaunches.onAnswered(kTask, FencingToken{5});
   auto ended = report(2, 1, 5);
   ended.tasks.push_back({kTask, TaskState::ended, EndCause::stopped});
   applyHeartbeat(ended);
@@ -182,6 +183,50 @@
   EXPECT_FALSE(reportFromJson(v));
 }
 
+// Guards against a task on two machines at once: a copy of the answered launch starts the attempt
+// again.
+TEST_F(Fixture, AnAnsweredDirectLaunchIsNotClearedForACopyOfItMayArrive) {
+  record.tasks.clear();
+  std::uint64_t sequence = 0;
+  for (EndCause cause : {EndCause::done, EndCause::stopped, EndCause::error, EndCause::noRoom,
+                         EndCause::busy, EndCause::unknown, EndCause::gang}) {
+    session.directLaunches.onSent(kTask, FencingToken{5});
+    session.directLaunches.onAnswered(kTask, FencingToken{5});
+    Report ended = report(2, ++sequence, 5);
+    ended.tasks.push_back({kTask, TaskState::ended, cause});
+    EXPECT_TRUE(applyHeartbeat(ended).empty()) << static_cast<int>(cause);
+    EXPECT_EQ(session.retainedAttempts, 1U);
+  }
+}
+
+TEST_F(Fixture, ADirectLaunchIsClearedOnceItsWorkerHasSeenARaisedToken) {
+  record.tasks.clear();
+  session.directLaunches.onSent(kTask, FencingToken{5});
+  Report ended = report(2, 1, 5);
+  ended.tasks.push_back({kTask, TaskState::ended, EndCause::done});
+  const TokenRange raised{FencingToken{5}, FencingToken{9}};
+  auto apply = [&](const Report& r) {
+    updateSession(session, r, Instant{0});
+    return reconcile(session, &record, raised, true,
+                     [](const AttemptId&) { return DesiredState{}; });
+  };
+  EXPECT_TRUE(apply(ended).empty()) << "the worker has not seen the raised token";
+  ended.sequence = ReportSequence{2};
+  ended.token = FencingToken{9};
+  ASSERT_EQ(apply(ended).size(), 1U);
+  EXPECT_EQ(session.retainedAttempts, 0U);
+}
+
+// Guards against a stop that waits until a worker has taken up a token that its leader has raised.
+TEST_F(Fixture, AbsenceUnderAnEarlierTokenOfTheSameLeaderIsProof) {
+  stop = true;
+  updateSession(session, report(2, 1, 5), Instant{0});
+  reconcile(session, &record, {FencingToken{5}, FencingToken{9}}, true, [&](const AttemptId&) {
+    return DesiredState{stop, Duration{0}};
+  });
+  EXPECT_TRUE(hasProvenOutcome());
+}
+
 // Guards against a launch without its stop: the launch alone would start a task of a job whose user
 // was notified that it is cancelled.
 TEST_F(Fixture, ALaunchThatMakesAnAttemptKnownNeverGoesWithoutItsStop) {
@@ -190,9 +235,9 @@
     record.tasks.push_back({{{JobId{"j-000002"}, i}, Attempt{7}}, WorkerEpoch{2}, nullptr});
   }
   record.tasks.push_back({kTask, WorkerEpoch{2}, nullptr});
-  session.unacknowledgedLaunches.insert(kTask);
+  session.directLaunches.onSent(kTask, FencingToken{5});
   updateSession(session, report(2, 1, 5), Instant{0});
-  auto commands = reconcile(session, &record, FencingToken{5}, true, [&](const AttemptId& id) {
+  auto commands = reconcile(session, &record, kTokens, true, [&](const AttemptId& id) {
     return DesiredState{id == kTask, Duration{0}};
   });
   auto isForTask = [](const WorkerCommand& o) { return o.id == kTask; };
