Raise the leader's token while it leads, so that workers may forget

The new revision is its token: workers that have seen it refuse the earlier commands, and their attempts are cleared. With 256 retained attempts a worker gets its launches in answers to heartbeats alone, which are never late, so reports are bounded also while the key can't be written.

- The write is one of the leader's transactions, in order with the others, so none is under way that compares the old revision.
- The token is taken up from the answer or from the change feed, only while this controller leads and only if the record is of this leadership.
A write that is carried out late fails on the revision, or moves the key of a leader that has stepped down, whose lease ends as before.
- Absence is proof under each token of one leader (`TokenRange`), so no stop, move or preemption waits for the raise.
- A peer or worker that knows the new token first does not depose the leader while the write is under way and reads succeed.
- Tokens stay revisions of the leader key, so older controllers beside it take them as before.

`users-own-abort` needs a worker that has forgotten the earlier attempt. What it checks is unchanged.

--- a/simulator/model/state_service.cpp
+++ b/simulator/model/state_service.cpp
@@ -188,6 +188,12 @@
   entries_[key] = {std::move(value), revision_, 0, bytes};
 }
 
+void StateService::rewrite(const std::string& key) {
+  Entry& entry = entries_.at(key);
+  entry.revision = ++revision_;
+  changeLog_.push_back({key, entry.data, revision_});
+}
+
 Response StateService::list(const std::map<std::string, std::string>& query) {
   const auto& prefix = query.at("prefix");
   std::size_t page = std::stoul(query.at("page"));
--- a/simulator/model/state_service.hpp
+++ b/simulator/model/state_service.hpp
@@ -46,6 +46,9 @@
   const Json* valueOf(const std::string& key) const;
   /// Stores a value that exists before the simulation starts.
   void put(const std::string& key, Json value);
+  /// Writes the present value of an existing key again, as its owner may do. The key stays attached
+  /// to its lease and gets a new revision.
+  void rewrite(const std::string& key);
 
  private:
   struct Entry {
--- a/src/app/controller.cpp
+++ b/src/app/controller.cpp
@@ -100,6 +100,7 @@
   lastHeartbeat_ = startedAt_ - Duration{3600000};
   watcher_.setInterval(kFollowerReadInterval);
   watcher_.onApplied = [this](const std::vector<Change>& changes) {
+    adoptRaisedToken();
     if (leader_) leader_->onChangesApplied(changes);
   };
   watcher_.onChanged = [this] { onRecordsChanged(); };
--- a/src/app/controller.hpp
+++ b/src/app/controller.hpp
@@ -66,6 +66,12 @@
   /// Returns how long the candidacy is deferred in favour of controllers that receive heartbeats.
   Duration candidacyDelay() const;
   void claimLeadership();
+  /// Returns the write that sets the leader key to this controller's record.
+  Write leaderKeyWrite() const;
+  /// Adopts the revision of the leader key as the token if this leader has written the key again.
+  void adoptRaisedToken();
+  /// Returns whether a higher token that another process knows may be this leader's own.
+  bool mayBeOwnRaisedToken() const;
   void renewLeadership();
   void beginLeadership();
   void startLeader();
--- a/src/app/controller_heartbeats.cpp
+++ b/src/app/controller_heartbeats.cpp
@@ -164,6 +164,7 @@
     return reject();
   }
   if (report.token > election_.token()) {
+    if (mayBeOwnRaisedToken()) return reject();
     stepDown("machine " + report.machine.value + " has seen a higher token", false, Duration{500});
     return reject();
   }
--- a/src/app/controller_leadership.cpp
+++ b/src/app/controller_leadership.cpp
@@ -66,7 +66,7 @@
     if (election_.role() != Election::Role::claiming) return;
     Transaction t;
     t.compares.push_back({keys::kLeader, Revision{election_.expectedToken().value}});
-    t.writes.push_back({keys::kLeader, toJson(election_.record()), lease});
+    t.writes.push_back(leaderKeyWrite());
     store_.commit(t, kStoreTimeout, [this, t](CommitResult r) {
       election_.onClaimed(runtime_.now(), r);
       if (r.outcome == CommitOutcome::applied) {
@@ -77,6 +77,22 @@
   });
 }
 
+Write Controller::leaderKeyWrite() const {
+  return {keys::kLeader, toJson(election_.record()), election_.lease()};
+}
+
+void Controller::adoptRaisedToken() {
+  if (!leader_ || !election_.adoptRaisedToken(replica_.leader(), replica_.leaderToken())) return;
+  lastToken_ = std::max(lastToken_, election_.token());
+  leader_->adoptToken(election_.token());
+}
+
+// A peer or a worker may hear of the raised token before this leader does. The next read shows who
+// wrote the leader key.
+bool Controller::mayBeOwnRaisedToken() const {
+  return leader_ && leader_->isRaisingToken() && watcher_.snapshotAge() < kStoreUnreachableAfter;
+}
+
 void Controller::renewLeadership() {
   store_.renewLease(*election_.lease(), kStoreTimeout, [this](LeaseOutcome o) {
     bool leads = election_.leads();
@@ -116,10 +132,13 @@
              peerMembership_.mayBeAlive(peer.member);
     });
   };
+  context.leaderKeyWrite = [this] { return leaderKeyWrite(); };
+  context.onLeaderKeyWritten = [this] { adoptRaisedToken(); };
   context.zoneAckBounds = [this] { return zoneAckBounds(); };
   context.onCommandsRepeated = [this] { countRepeat("commands"); };
   if (metrics_) {
     context.onLostBySilence = [this](Duration silence) { metrics_->terminationRequested(silence); };
+    context.onTokenRaised = [this] { metrics_->tokenRaised(); };
     context.onClearedAttemptReported = [this] { metrics_->clearedAttemptReported(); };
     context.onLeaseEndProbe = [this](const char* answer) { metrics_->leaseEndProbed(answer); };
   }
@@ -191,7 +210,7 @@
 void Controller::watchLeadership() {
   if (!election_.leads()) return;
   for (const auto& [member, seen] : peerMembership_.statuses()) {
-    if (seen.first.token > election_.token()) {
+    if (seen.first.token > election_.token() && !mayBeOwnRaisedToken()) {
       return stepDown("member " + member.value + " knows a higher token", false, Duration{500});
     }
   }
--- a/src/app/leader.cpp
+++ b/src/app/leader.cpp
@@ -49,7 +49,9 @@
       forecast_(context_, fleet_, planning_, scaling_, forecasts_),
       flows_(context_, outcomes_, taskLoop_),
       policy_(context_, fleet_, policy),
-      loops_{&policy_, &planning_, &taskLoop_, &terminations_, &scaling_, &forecast_, &flows_},
+      tokenRaise_(context_, fleet_),
+      loops_{&policy_,  &planning_, &taskLoop_, &terminations_,
+             &scaling_, &forecast_, &flows_,    &tokenRaise_},
       writes_(context_.platform.stateWritesPerS * kLeaderWriteShare,
               std::max<double>(context_.platform.stateWritesPerS * kLeaderWriteShare,
                                static_cast<double>(context_.platform.transactionOps))) {
@@ -257,6 +259,7 @@
     for (const auto& write : commit.transaction.writes) {
       context_.replica.apply({write.key, write.value, revision});
     }
+    if (isLeadershipLost()) context_.onLeaderKeyWritten();
   }
   context_.latestRevision = std::max(context_.latestRevision, revision);
   stepInProgress_ = false;
@@ -279,6 +282,17 @@
   }));
 }
 
+bool Leader::isRaisingToken() const {
+  return sent_ && !sent_->settled && sent_->commit.transaction.writes.front().key == keys::kLeader;
+}
+
+void Leader::adoptToken(FencingToken token) {
+  logInfo("token raised", "token", token, "earlier", context_.token);
+  context_.token = token;
+  fleet_.adoptToken(token);
+  if (context_.onTokenRaised) context_.onTokenRaised();
+}
+
 Response Leader::onReport(const Report& report, const MemberId& receivedBy, bool mayLaunch) {
   if (fleet_.isTerminated(report.machine)) {
     // The cloud has confirmed the termination of the machine, so the network delayed this
--- a/src/app/leader.hpp
+++ b/src/app/leader.hpp
@@ -7,6 +7,7 @@
 #include "cloud/termination_loop.hpp"
 #include "fleet/command_repeater.hpp"
 #include "fleet/lease_end_prober.hpp"
+#include "fleet/token_raise_loop.hpp"
 #include "flows/flow_loop.hpp"
 #include "policy/policy_loop.hpp"
 
@@ -38,6 +39,10 @@
   /// Returns the reasons why tasks of the job wait; see explainPending().
   Json why(const JobId& job);
   FencingToken token() const { return context_.token; }
+  /// Returns whether the outcome of a raise of the token is unknown.
+  bool isRaisingToken() const;
+  /// Uses this token, the revision of the leader key that this leader wrote again, from now on.
+  void adoptToken(FencingToken token);
   Fleet& fleet() { return fleet_; }
 
  private:
@@ -85,6 +90,7 @@
   ForecastLoop forecast_;
   FlowLoop flows_;
   PolicyLoop policy_;
+  TokenRaiseLoop tokenRaise_;
   std::vector<ControlLoop*> loops_;  ///< Lists all loops in the order in which they run.
   TokenBucket writes_;
   SentCommitPtr sent_;           ///< Points to the newest commit, or is null before the first.
--- a/src/fleet/command_dispatcher.cpp
+++ b/src/fleet/command_dispatcher.cpp
@@ -9,6 +9,10 @@
 namespace kestrelhoist {
 namespace {
 constexpr Duration kDirectTimeout{3000};
+// A worker that must remember this many ended attempts gets its launches in the answers to its
+// heartbeats, because it can forget attempts that were launched there. Its reports stay below their
+// maximum size of 64 KiB.
+constexpr std::size_t kMaxRetainedAttempts = 256;
 
 bool isLaunch(const WorkerCommand& command) {
   return command.operation == WorkerCommand::Operation::launch;
@@ -27,6 +31,7 @@
   std::erase_if(commands, [](const WorkerCommand& command) {
     return command.operation == WorkerCommand::Operation::clear;
   });
+  if (session.retainedAttempts >= kMaxRetainedAttempts) std::erase_if(commands, isLaunch);
   if (commands.empty()) return false;
   for (const auto& command : commands) {
     if (isLaunch(command)) session.directLaunches.onSent(command.id, context_.token);
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -103,6 +103,16 @@
   }
 }
 
+std::size_t Fleet::mostRetainedAttempts() const {
+  std::size_t most = 0;
+  for (const auto& [id, machine] : machines_) {
+    // A worker that has not seen the present token yet can forget attempts without another raise.
+    if (!machine.hasReported() || machine.session.lastReport->token < tokens_.newest) continue;
+    most = std::max(most, machine.session.retainedAttempts);
+  }
+  return most;
+}
+
 void Fleet::logRegistration(const Machine& machine) const {
   const Report& report = *machine.session.lastReport;
   logInfo("worker registered", "machine", machine.id, "zone", machine.zone, "spot", machine.spot,
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -77,6 +77,12 @@
   /// false if the report answers a direct command.
   bool applyReport(const Report& report, Instant now, bool isHeartbeat = false);
 
+  /// Uses this token of the same leader for new commands.
+  void adoptToken(FencingToken token) { tokens_.newest = token; }
+  /// Returns the highest number of ended attempts that a worker must remember until it has seen a
+  /// newer token than the present one.
+  std::size_t mostRetainedAttempts() const;
+
   /// Returns the zones from which no machine reports any more, each with the time of the newest
   /// sign of life of its machines. A zone is included if all its machines are overdue, or if none
   /// has reported for longer than the number of its machines makes likely. A zone without any
--- a/src/leadership/election.cpp
+++ b/src/leadership/election.cpp
@@ -82,6 +82,13 @@
   }
 }
 
+bool Election::adoptRaisedToken(const std::optional<LeaderRecord>& leader,
+                                FencingToken keyRevision) {
+  if (role_ != Role::leader || !isMine(leader) || keyRevision <= token_) return false;
+  token_ = keyRevision;
+  return true;
+}
+
 void Election::stepDown(Instant until) {
   role_ = Role::follower;
   lease_.reset();
--- a/src/leadership/election.hpp
+++ b/src/leadership/election.hpp
@@ -41,6 +41,9 @@
   void onGranted(std::optional<LeaseId> lease);
   void onClaimed(Instant now, const CommitResult& result);
   void onRenewed(LeaseOutcome outcome);
+  /// Adopts the revision of the leader key as the token if this leader has written the key again.
+  /// Returns whether the token has changed.
+  bool adoptRaisedToken(const std::optional<LeaderRecord>& leader, FencingToken keyRevision);
   /// Ends the leadership of this controller and keeps it from being a candidate before `until`.
   void stepDown(Instant until);
   /// Keeps this controller from being a candidate before `until`.
--- a/src/leadership/leader_context.hpp
+++ b/src/leadership/leader_context.hpp
@@ -29,6 +29,7 @@
   const Platform& platform;
   const OperatorSettings& settings;
 
+  /// Is the newest token of this leader; see TokenRaiseLoop.
   FencingToken token;
   Instant electedAt{};
   /// Is true once the initial heartbeat round is complete.
@@ -39,6 +40,10 @@
   Revision latestRevision{};
   /// Is true if the inputs of the plan have changed since the last planning run.
   bool planInvalidated = true;
+  /// Returns the write that sets the leader key to the record of this leader again.
+  std::function<Write()> leaderKeyWrite{};
+  /// Is called after this leader has set the leader key again, to adopt its revision as the token.
+  std::function<void()> onLeaderKeyWritten{};
   /// Schedules another cycle of the control loops.
   std::function<void()> scheduleCycle{};
   /// Returns whether a worker was reached at the given instant or later (see
@@ -60,6 +65,8 @@
   /// Is called, for each machine declared dead because its heartbeats stopped, with the time since
   /// its last heartbeat. It may be null.
   std::function<void(Duration)> onLostBySilence{};
+  /// Is called when this leader uses a new token. It may be null.
+  std::function<void()> onTokenRaised{};
   /// Is called for each attempt that a worker reports again after it was cleared. It may be null.
   std::function<void()> onClearedAttemptReported{};
   /// Is called when commands are sent to a machine again. It may be null.
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -41,6 +41,10 @@
       family<prometheus::Counter>(registry, "writes_set_aside_total",
                                   "writes that the state service accepts in no transaction")
           .Add({});
+  prometheus::Counter& tokenRaises =
+      family<prometheus::Counter>(registry, "token_raises_total",
+                                  "times that this leader raised its fencing token")
+          .Add({});
   prometheus::Counter& clearedAttemptsReported =
       family<prometheus::Counter>(registry, "cleared_attempts_reported_total",
                                   "attempts that a worker reported again after it cleared them")
@@ -87,6 +91,8 @@
   families_->silence.Observe(toSeconds(silence));
 }
 
+void Metrics::tokenRaised() { families_->tokenRaises.Increment(); }
+
 void Metrics::clearedAttemptReported() { families_->clearedAttemptsReported.Increment(); }
 
 void Metrics::leaseEndProbed(const char* answer) {
--- a/src/metrics/metrics.hpp
+++ b/src/metrics/metrics.hpp
@@ -53,6 +53,9 @@
   /// "none".
   void leaseEndProbed(const char* answer);
 
+  /// Counts a raise of this leader's token.
+  void tokenRaised();
+
   /// Counts an attempt that a worker reported again after it was cleared, which means that a task
   /// may have run on two machines at once.
   void clearedAttemptReported();
--- a/tests/scenario_concurrent_reads.cpp
+++ b/tests/scenario_concurrent_reads.cpp
@@ -127,6 +127,9 @@
   int node = nodeOf("other");
   auto seen = std::make_shared<OwnAbort>();
   w.network.stateServiceDelayMs = kSlow;
+  waitForLaunch(id);
+  // The leader takes this up as its raised token, so that it may clear the attempt.
+  w.state.rewrite(keys::kLeader);
   waitForEnd(id);
   seen->before = seen->placed = w.newestAttempt(id, 0);
   auto hook = w.state.onCommit;
--- a/tests/scenario_concurrent_reads.hpp
+++ b/tests/scenario_concurrent_reads.hpp
@@ -82,6 +82,13 @@
       world_->network.cut(host, rest, CutMode::reset, ms);
     }
   }
+  // Lets time pass until a worker has launched the job's newest task attempt.
+  void waitForLaunch(const std::string& id) {
+    constexpr int kMaxSteps = 6000;
+    for (int i = 0; i < kMaxSteps && !isKnownToWorkers(id, world_->newestAttempt(id, 0)); ++i) {
+      world_->runFor(0.01);
+    }
+  }
   // Lets time pass until the job's newest task attempt has ended on its machine.
   void waitForEnd(const std::string& id) {
     for (int i = 0; i < 6000; ++i) {
