Tests: a launch that is stopped in the same message is no second start

`started_again` counted each launch of an attempt that its worker had forgotten. The rule now asks after the whole message whether the attempt is still not ended, so a launch alone fails as before.

--- a/simulator/host/process_tasks.cpp
+++ b/simulator/host/process_tasks.cpp
@@ -32,16 +32,17 @@
 
 void ProcessTasks::describe(Worker& worker, const Worker::Task& task,
                             std::function<void(std::optional<TaskNeeds>)> done) {
-  if (task.isRelaunch) {
-    logError("attempt launched a second time", "machine", worker.host, "job", task.job, "index",
-             task.index, "attempt", task.attempt);
-  }
   if (auto needs = describeFromSharedFiles(worker, task)) return done(needs);
   if (task.job.starts_with("m-")) return done(std::nullopt);
   if (task.job.starts_with("j-")) return done(describeFromJobDirectory(worker, task));
   requestDescription(worker, task, 20, std::move(done));
 }
 
+void ProcessTasks::onLaunchedAgain(Worker& worker, const Worker::Task& task) {
+  logError("attempt launched a second time", "machine", worker.host, "job", task.job, "index",
+           task.index, "attempt", task.attempt);
+}
+
 // Reads the job description that `hoist` stored beside the members' files. It holds one command for
 // all tasks of the job.
 std::optional<TaskNeeds> ProcessTasks::describeFromSharedFiles(Worker& worker,
--- a/simulator/host/process_tasks.hpp
+++ b/simulator/host/process_tasks.hpp
@@ -35,6 +35,7 @@
 
   void describe(Worker& worker, const Worker::Task& task,
                 std::function<void(std::optional<TaskNeeds>)> done) override;
+  void onLaunchedAgain(Worker& worker, const Worker::Task& task) override;
   void begin(Worker& worker, const Worker::Task& task) override;
   void save(Worker& worker, const Worker::Task& task) override;
   void end(Worker& worker, const Worker::Task& task) override;
--- a/simulator/model/worker.cpp
+++ b/simulator/model/worker.cpp
@@ -261,7 +261,7 @@
   t.attempt = attempt;
   t.state = "fetching";
   t.executionId = ++lastExecutionId_;
-  t.isRelaunch = !launchedAttempts_.emplace(name, attempt).second;
+  if (!launchedAttempts_.emplace(name, attempt).second) checkLaunchedAgain(t.executionId);
   bool inUse = false;
   for (const auto& other : tasks) {
     inUse = inUse || (other.state != "ended" && other.job == t.job && other.index == t.index);
@@ -277,6 +277,14 @@
   });
 }
 
+// The check runs after the other commands of the same message.
+void Worker::checkLaunchedAgain(std::uint64_t executionId) {
+  region_.clock.in(0, [this, executionId] {
+    const Task* t = findExecution(executionId);
+    if (!isDead && t && t->state != "ended") region_.taskHost.onLaunchedAgain(*this, *t);
+  });
+}
+
 void Worker::onDescribed(std::uint64_t executionId, std::optional<TaskNeeds> needs) {
   Task* t = findExecution(executionId);
   if (!t || t->state != "fetching") return;
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -276,6 +276,7 @@
   // These functions implement TaskHost.
   void describe(Worker& worker, const Worker::Task& task,
                 std::function<void(std::optional<simulator::TaskNeeds>)> done) override;
+  void onLaunchedAgain(Worker& worker, const Worker::Task& task) override;
   void begin(Worker& worker, const Worker::Task& task) override;
   void save(Worker& worker, const Worker::Task& task) override;
   void end(Worker&, const Worker::Task&) override {}
