--- a/tests/scenario_steps_output.cpp
+++ b/tests/scenario_steps_output.cpp
@@ -38,7 +38,9 @@
   for (const auto& [path, sum] : world.network.traffic) {
     auto& before = trafficBefore_[path];
     double seconds = world.now() - trafficAt_;
-    if (sum.requests <= before.requests || !path.starts_with("/mesh")) continue;
+    const bool isCounted =
+        path.starts_with("/mesh") || path.starts_with("/agent") || path == "/commands";
+    if (sum.requests <= before.requests || !isCounted) continue;
     std::cout << "  " << path << ": "
               << static_cast<double>(sum.requests - before.requests) / seconds << " requests, "
               << static_cast<double>(sum.bytes - before.bytes) / seconds / 1024
