--- a/review/common-2/kh.py
+++ b/review/common-2/kh.py
@@ -225,6 +225,22 @@
     writer.transport.abort()
 
 
+def free_ports(count):
+    """Returns free ports below those that the system gives to outgoing connections."""
+    held = []
+    while len(held) < count:
+        s = socket.socket()
+        try:
+            s.bind(("127.0.0.1", random.SystemRandom().randrange(10000, 31000)))
+            held.append(s)
+        except OSError:
+            s.close()
+    ports = [s.getsockname()[1] for s in held]
+    for s in held:
+        s.close()
+    return ports
+
+
 # ---- links ----
 
 
@@ -624,7 +640,7 @@
         if self.dead:
             return
         self.dead = True
-        self.region.record("machine", host=self.name, what=why)
+        self.region.record("machine", host=self.name, end=why)
         for t in self.tasks:
             self.off(t)
         self.tasks = []
@@ -855,7 +871,9 @@
         self.wake.set()
         self.region.on_start(self, t)
         run = self.region.run_time(t)
-        if run is not None:
+        if self.region.jobs[t.job].get("mistake"):
+            self.later(t, 0.3, lambda: self.finish(t, "error"))
+        elif run is not None:
             self.later(t, run, lambda: self.finish(t, "done"))
 
     def finish(self, t, cause, kept=None):
@@ -1068,12 +1086,7 @@
         self.cloud = Cloud(self, [rig], capacity, list_lag=s["list_lag"])
         cloud = await self.cloud.listen()
         n = s["nodes"]
-        held = [socket.socket() for _ in range(2 * n)]
-        for h in held:
-            h.bind(("127.0.0.1", 0))
-        ports = [h.getsockname()[1] for h in held]
-        for h in held:
-            h.close()
+        ports = free_ports(2 * n)
         self.api = ports[:n]
         self.mesh = ports[n:]
         self.links = {}
@@ -1257,7 +1270,7 @@
                     for name in j["on"]
                 )
                 if used > most + 1e-6:
-                    self.violate("quota", team=team, what=f, used=used, limit=most)
+                    self.violate("quota", team=team, of=f, used=used, limit=most)
 
     def on_off(self, worker, t):
         self.record("off", host=worker.name, task=t.name, attempt=t.attempt)
@@ -1313,8 +1326,9 @@
         port = self.balancer.port if node is None else self.user_port(node)
         return await request(port, method, path, body, timeout)
 
-    async def submit(self, spec, run_s=10.0, tries_s=60.0, node=None):
+    async def submit(self, spec, run_s=10.0, tries_s=60.0, node=None, mistake=False):
         job = {"spec": spec, "on": {}, "run_s": run_s, "said": None, "accepted": None}
+        job["mistake"] = mistake  # its tasks fail on every machine
         self.jobs[spec["ref"]] = job
         began = now()
         while now() - began < tries_s:
