--- a/review/common-2/kh.py
+++ b/review/common-2/kh.py
@@ -14,6 +14,7 @@
 import struct
 import subprocess
 import tempfile
+import threading
 import time
 import tomllib
 
@@ -934,7 +935,8 @@
                     self.down_at[i] = t
                     self.region.record("balancer", node=i, healthy=False)
             elif ok and (
-                not self.ever[i] or (p[-2:] == [True, True] and t - self.down_at[i] >= self.pause[i])
+                not self.ever[i]
+                or (p[-2:] == [True, True] and t - self.down_at[i] >= self.pause[i])
             ):
                 self.healthy[i] = self.ever[i] = True
                 self.probes[i] = [True]
@@ -1044,6 +1046,7 @@
         self.done_tasks = {}
         self.ending = False
         self.max_rss = [0] * s["nodes"]
+        self.over_memory = {}
 
     def spawn(self, coroutine):
         t = asyncio.get_running_loop().create_task(coroutine)
@@ -1107,6 +1110,7 @@
         for i in range(n):
             self.start_node(i)
         self.spawn(self.watch())
+        threading.Thread(target=self.guard_memory, daemon=True).start()
         return self
 
     async def link(self, name, target):
@@ -1217,13 +1221,29 @@
                         self.violate("node_restarts", node=i, ended_by_itself=how)
                     self.spawn(self.bring_back(i))
                     continue
+            for i, rss in self.over_memory.items():
+                self.violate("node_restarts", node=i, ended_for_memory=f"{rss >> 20} MB")
+                self.ended_alone.append((i, f"{rss >> 20} MB of memory"))
+            self.over_memory.clear()
+            await asyncio.sleep(0.05)
+
+    def guard_memory(self):
+        """Ends a process that goes over its memory, as the platform does. Runs in a thread."""
+        while not self.ending:
+            for i, p in enumerate(list(self.procs)):
+                if p is None or p.pid in self.expected_end:
+                    continue
                 try:
                     with open(f"/proc/{p.pid}/statm") as f:
                         rss = int(f.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
-                    self.max_rss[i] = max(self.max_rss[i], rss)
                 except (OSError, IndexError, ValueError):
-                    pass
-            await asyncio.sleep(0.05)
+                    continue
+                self.max_rss[i] = max(self.max_rss[i], rss)
+                if rss > self.s["ram_mb"] * 1e6:
+                    self.expected_end.add(p.pid)
+                    self.over_memory[i] = rss
+                    p.kill()
+            time.sleep(0.005)
 
     async def bring_back(self, i):
         await asyncio.sleep(self.s["back_s"])
