--- a/review/6/case.py
+++ b/review/4/case.py
@@ -45,7 +45,7 @@
         for n in range(1, 6):
             await region.poll(f"j-{n:06d}")
         await asyncio.sleep(3.0)
-    region.record("memory", most_mb=[x >> 20 for x in region.max_rss])
+    region.record("memory", most_mb=[x // 1000000 for x in region.max_rss])
     for i, why in region.ended_alone[:6]:
         region.say(f"controller {i} ended: {why}")
     region.say(f"ends of controllers in all: {len(region.ended_alone)}")
--- a/review/common-2/kh.py
+++ b/review/common-2/kh.py
@@ -1222,8 +1222,8 @@
                     self.spawn(self.bring_back(i))
                     continue
             for i, rss in self.over_memory.items():
-                self.violate("node_restarts", node=i, ended_for_memory=f"{rss >> 20} MB")
-                self.ended_alone.append((i, f"{rss >> 20} MB of memory"))
+                self.violate("node_restarts", node=i, ended_for_memory=f"{rss // 1000000} MB")
+                self.ended_alone.append((i, f"{rss // 1000000} MB of memory"))
             self.over_memory.clear()
             await asyncio.sleep(0.05)
 
