Compute how often a task fits instead of listing each slot

Cause: Reservations listed the slots for such a job one by one, as often as a task fits into each machine, and dropped those beyond the job's tasks only afterwards. A task that takes nothing fits without end; refusing it would leave tiny tasks and stored jobs.

Change: Resources::countIn computes the number, bounded by the tasks that wait; EarliestSlots keeps one entry for all slots of a machine at one time and drops late ones at once.

--- a/src/base/types.hpp
+++ b/src/base/types.hpp
@@ -2,7 +2,9 @@
 /// Defines distinct types for ids, counters, times and resources.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <compare>
 #include <cstdint>
 #include <functional>
@@ -106,11 +108,25 @@
   friend Resources operator*(Resources a, double k) {
     return {a.cpus * k, a.gpus * k, a.ramGb * k};
   }
+  /// `fitsIn` and `countIn` allow this rounding error of CPUs, GPUs and gigabytes.
+  static constexpr double kSlack = 1e-6;
   /// Returns whether `o` has at least these resources, apart from rounding errors.
   bool fitsIn(const Resources& o) const {
-    constexpr double kSlack = 1e-6;
     return cpus <= o.cpus + kSlack && gpus <= o.gpus + kSlack && ramGb <= o.ramGb + kSlack;
   }
+  /// Returns how many times these resources fit into `o` side by side, but at most `most`. The time
+  /// does not depend on the result, which is `most` for resources that are zero.
+  std::uint32_t countIn(const Resources& o, std::uint32_t most) const {
+    if (most == 0 || !fitsIn(o)) return 0;
+    double count = most;
+    auto limitTo = [&count](double needed, double available) {
+      if (needed > 0) count = std::min(count, std::floor((available + kSlack) / needed));
+    };
+    limitTo(cpus, o.cpus);
+    limitTo(gpus, o.gpus);
+    limitTo(ramGb, o.ramGb);
+    return std::max(1U, static_cast<std::uint32_t>(count));
+  }
   /// Returns the largest of the shares that this takes of the CPUs, GPUs and memory of `whole`.
   double shareOf(const Resources& whole) const {
     double s = 0;
--- a/src/placement/reservations.cpp
+++ b/src/placement/reservations.cpp
@@ -15,15 +15,11 @@
 
 }  // namespace
 
-bool Reservations::Slot::operator<(const Slot& other) const {
-  return std::pair(freeInS, machine) < std::pair(other.freeInS, other.machine);
-}
-
 void Reservations::reserve(const PlanInput& input, const PlanState& state,
                            const JobPlacement& placement, std::uint32_t tasks) {
   if (jobs_ >= kMaxJobs) return;
   bool gang = placement.spec().kind == JobKind::gang;
-  auto slots = earliestSlots(findSlots(input, state, placement), tasks, gang);
+  auto slots = earliestSlots(findSlots(input, state, placement, tasks), gang);
   if (slots.empty()) return;
   ++jobs_;
   for (const auto& slot : slots) {
@@ -35,52 +31,53 @@
   }
 }
 
-// Returns all slots for tasks of the job, those that are free now and those that become free as
-// running tasks end. The slots are grouped by zone if all tasks must run in one zone.
+// Finds the earliest slots for `tasks` tasks of the job among those that are free now and those
+// that become free as running tasks end. The slots are grouped by zone if all tasks must run in one
+// zone.
 Reservations::SlotsByZone Reservations::findSlots(const PlanInput& input, const PlanState& state,
-                                                  const JobPlacement& placement) const {
+                                                  const JobPlacement& placement,
+                                                  std::uint32_t tasks) const {
   const JobSpec& spec = placement.spec();
   SlotsByZone byZone;
   for (std::size_t m = 0; m < input.machines.size(); ++m) {
     const auto& machine = input.machines[m];
     if (!machine.usable || byMachine_.contains(m) || !placement.allowed(m)) continue;
-    auto& slots = byZone[spec.oneZone ? machine.zone : kAnyZone];
-    appendSlots(machine, m, state.free[m], spec.perTask, slots);
+    auto zone = byZone.try_emplace(spec.oneZone ? machine.zone : kAnyZone, tasks).first;
+    addSlots(machine, m, state.free[m], spec.perTask, tasks, zone->second);
   }
   return byZone;
 }
 
-void Reservations::appendSlots(const PlanMachine& machine, std::size_t index, Resources free,
-                               const Resources& perTask, std::vector<Slot>& slots) {
-  auto fill = [&](double freeInS) {
-    while (perTask.fitsIn(free)) {
-      slots.push_back({freeInS, index});
-      free -= perTask;
-    }
+// Adds the slots of one machine for up to `tasks` tasks.
+void Reservations::addSlots(const PlanMachine& machine, std::size_t index, Resources free,
+                            const Resources& perTask, std::uint32_t tasks, EarliestSlots& slots) {
+  auto add = [&](double freeInS) {
+    std::uint32_t fitting = perTask.countIn(free, tasks);
+    slots.add({freeInS, index, fitting});
+    free -= perTask * fitting;
+    tasks -= fitting;
   };
   auto expectedEnds = machine.expectedEnds;
   std::sort(
       expectedEnds.begin(), expectedEnds.end(),
       [](const ExpectedTaskEnd& a, const ExpectedTaskEnd& b) { return a.inSeconds < b.inSeconds; });
   double atS = 0;
-  fill(atS);
+  add(atS);
   for (const auto& end : expectedEnds) {
+    if (tasks == 0) return;
     atS = std::max(atS, end.inSeconds);
     free += end.capacity;
-    fill(atS);
+    add(atS);
   }
 }
 
-// Returns up to `tasks` slots from the zone in which the last of these slots is free earliest. For
-// a gang, only zones with a slot for each task count.
-std::vector<Reservations::Slot> Reservations::earliestSlots(SlotsByZone byZone, std::uint32_t tasks,
-                                                            bool gang) {
-  std::vector<Slot> best;
-  for (auto& entry : byZone) {
-    std::vector<Slot>& slots = entry.second;
-    std::sort(slots.begin(), slots.end());
-    if (gang && slots.size() < tasks) continue;
-    if (slots.size() > tasks) slots.resize(tasks);
+// Returns the slots of the zone in which the last of them is free earliest. For a gang, only zones
+// with a slot for each task count.
+std::vector<MachineSlots> Reservations::earliestSlots(const SlotsByZone& byZone, bool gang) {
+  std::vector<MachineSlots> best;
+  for (const auto& [zone, earliest] : byZone) {
+    if (gang && !earliest.suffice()) continue;
+    std::vector<MachineSlots> slots = earliest.sorted();
     if (slots.empty()) continue;
     if (best.empty() || slots.back().freeInS < best.back().freeInS) best = std::move(slots);
   }
--- a/src/placement/reservations.hpp
+++ b/src/placement/reservations.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <vector>
 
+#include "placement/earliest_slots.hpp"
 #include "placement/plan_state.hpp"
 
 namespace kestrelhoist {
@@ -25,6 +26,7 @@
   void reserve(const PlanInput& input, const PlanState& state, const JobPlacement& placement,
                std::uint32_t tasks);
 
+  /// Returns whether no machine is reserved.
   bool empty() const { return byMachine_.empty(); }
   /// Returns in how many seconds another job than `job` needs the machine; empty if no other job
   /// has reserved it.
@@ -37,19 +39,13 @@
     double neededInS{};
     const PlanJob* job{};
   };
-  /// Describes resources for one task on a machine, and when they become free.
-  struct Slot {
-    double freeInS{};
-    std::size_t machine{};
-    bool operator<(const Slot& other) const;
-  };
-  using SlotsByZone = std::map<std::uint32_t, std::vector<Slot>>;
+  using SlotsByZone = std::map<std::uint32_t, EarliestSlots>;
 
   SlotsByZone findSlots(const PlanInput& input, const PlanState& state,
-                        const JobPlacement& placement) const;
-  static void appendSlots(const PlanMachine& machine, std::size_t index, Resources free,
-                          const Resources& perTask, std::vector<Slot>& slots);
-  static std::vector<Slot> earliestSlots(SlotsByZone byZone, std::uint32_t tasks, bool gang);
+                        const JobPlacement& placement, std::uint32_t tasks) const;
+  static void addSlots(const PlanMachine& machine, std::size_t index, Resources free,
+                       const Resources& perTask, std::uint32_t tasks, EarliestSlots& slots);
+  static std::vector<MachineSlots> earliestSlots(const SlotsByZone& byZone, bool gang);
 
   std::map<std::size_t, Reservation> byMachine_;
   int jobs_ = 0;  ///< Counts the jobs that have reserved a machine.
