Place tasks that need no CPU on machines without a free one

What callers saw: a job whose tasks need no CPUs, or no memory, waited as long as all CPUs were used, although each machine had room for it.

Cause: the planner tries only machines with free CPUs and free memory. Now a machine is left out only if it lacks something that each waiting task needs. The scenarios' check of waiting jobs had the same blind spot, and now counts such machines, too (stricter).

Evidence: Planner.TasksThatNeedNoCpuArePlacedWhereNoneIsFree places 0 of 2 tasks before; full-machines-tiny-tasks leaves two jobs pending and breaks the check of waiting jobs before. Both pass now.

--- a/src/placement/planner.cpp
+++ b/src/placement/planner.cpp
@@ -1,6 +1,7 @@
 #include "placement/planner.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <optional>
 #include <utility>
@@ -24,8 +25,21 @@
 // important tasks on a machine that has the image. A stop and a launch take about as long.
 constexpr double kMinFetchSecondsToPreempt = 3.0;
 
-bool hasFreeResources(const PlanMachine& machine) {
-  return machine.free.cpus > 0 && machine.free.ramGb > 0;
+// Returns the least that a task of any waiting job needs, separately for CPUs, GPUs and RAM.
+Resources leastNeeded(const PlanInput& input) {
+  constexpr double kUnbounded = std::numeric_limits<double>::infinity();
+  Resources least{kUnbounded, kUnbounded, kUnbounded};
+  for (const auto& job : input.jobs) {
+    least.cpus = std::min(least.cpus, job.spec->perTask.cpus);
+    least.gpus = std::min(least.gpus, job.spec->perTask.gpus);
+    least.ramGb = std::min(least.ramGb, job.spec->perTask.ramGb);
+  }
+  return least;
+}
+
+// Returns whether the machine has some of all resources that each waiting task needs.
+bool hasFreeResources(const PlanMachine& machine, const Resources& least) {
+  return (machine.free.cpus > 0 || least.cpus == 0) && (machine.free.ramGb > 0 || least.ramGb == 0);
 }
 
 // Returns whether a task on the machine may be preempted or is stopping.
@@ -85,10 +99,11 @@
  public:
   explicit Planner(const PlanInput& input)
       : input_(input), state_(input), allocatedTasks_(input.jobs.size()) {
+    const Resources least = leastNeeded(input);
     for (std::size_t m = 0; m < input.machines.size(); ++m) {
       const auto& machine = input.machines[m];
       if (!machine.usable) continue;
-      if (hasFreeResources(machine)) machinesWithFreeResources_.push_back(m);
+      if (hasFreeResources(machine, least)) machinesWithFreeResources_.push_back(m);
       if (hasStoppableTasks(machine)) machinesWithStoppableTasks_.push_back(m);
     }
   }
--- a/src/placement/planner_test.cpp
+++ b/src/placement/planner_test.cpp
@@ -95,6 +95,21 @@
   EXPECT_EQ(plan.unplaced[0], 0U);
 }
 
+// Guards against a job that waits for ever although each machine has room for it: a machine without
+// free CPUs was never tried, not even for tasks that need none.
+TEST(Planner, TasksThatNeedNoCpuArePlacedWhereNoneIsFree) {
+  for (const Resources& needed : {Resources{0, 0, 0}, Resources{0, 1, 1}}) {
+    auto s = std::make_shared<JobSpec>(*spec("j-000001", JobKind::array, Priority::low, 2));
+    s->perTask = needed;
+    auto in = inputWith(s);
+    in.machines.push_back(machine("only", 0, true));
+    in.machines[0].free.cpus = in.machines[0].freeAfterStops.cpus = 0;
+    auto plan = makePlan(in);
+    EXPECT_EQ(plan.placements.size(), 2U) << needed.gpus << " GPUs";
+    EXPECT_EQ(plan.unplaced[0], 0U) << needed.gpus << " GPUs";
+  }
+}
+
 TEST(Planner, EqualsAreNotStopped) {
   auto in = inputWith(spec("j-000001", JobKind::service, Priority::low, 1));
   in.machines.push_back(machine("only", 0, true));
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -375,6 +375,7 @@
   };
   void sampleWaitingJobs();
   std::map<std::string, FreeResources> freeResourcesByMachine() const;
+  static double taskCapacity(const JobPlan& plan, const FreeResources& free);
   std::set<int> missingTasks(const std::string& id, const UserJob& job) const;
   std::set<std::string> suitableMachines(
       const std::string& id, const JobPlan& plan, std::size_t missing,
--- a/tests/sim/world_waits.cpp
+++ b/tests/sim/world_waits.cpp
@@ -1,6 +1,7 @@
 // This file finds jobs that wait although a machine has free resources for them. After the end of
 // all injected faults no job may wait like this for long.
 #include <algorithm>
+#include <limits>
 
 #include "sim/world.hpp"
 
@@ -25,7 +26,7 @@
       r.gpus -= p ? p->gpus : t.needs.gpus;
       r.ram -= p ? p->ram : 0;
     }
-    if (r.cpus > 0 && r.ram > 0) out.emplace(host, r);
+    out.emplace(host, r);
   }
   return out;
 }
@@ -55,6 +56,23 @@
   return gpus;
 }
 
+// Returns how many tasks fit into the free resources, as a fraction. Resources that the tasks do
+// not need are no limit unless more than all of them are used.
+double World::taskCapacity(const JobPlan& p, const FreeResources& free) {
+  double capacity = std::numeric_limits<double>::infinity();
+  auto limitTo = [&capacity](double needed, double available) {
+    if (needed > 0) {
+      capacity = std::min(capacity, available / needed);
+    } else if (available < -kRoundingTolerance) {
+      capacity = 0;
+    }
+  };
+  limitTo(p.cpus, free.cpus);
+  limitTo(p.gpus, free.gpus);
+  limitTo(p.ram, free.ram);
+  return capacity;
+}
+
 // Returns the machines that can hold one more task of the job. A gang needs resources for all of
 // its missing tasks, so its result is empty unless the machines (of one zone if `together` is set)
 // can hold all of them.
@@ -79,12 +97,11 @@
     if (!p.zone.empty() && p.zone != r.zone) continue;
     if (p.together && hasPlacedTasks && perZone[r.zone] == 0) continue;
     if (p.apart && perZone[r.zone] >= (p.tasks + 1) / 2) continue;
-    double taskCapacity = std::min(r.cpus / p.cpus, r.ram / p.ram);
-    if (p.gpus > 0) taskCapacity = std::min(taskCapacity, r.gpus / p.gpus);
-    if (taskCapacity + kRoundingTolerance < 1) continue;
+    double capacity = std::min(taskCapacity(p, r), static_cast<double>(missing));
+    if (capacity + kRoundingTolerance < 1) continue;
     const std::string& key = p.together ? r.zone : std::string();
     machines[key].insert(host);
-    capacityByZone[key] += static_cast<std::size_t>(taskCapacity + kRoundingTolerance);
+    capacityByZone[key] += static_cast<std::size_t>(capacity + kRoundingTolerance);
   }
   std::set<std::string> out;
   for (auto& [zone, hosts] : machines) {
