Bound the number of tasks that fit into a share of the machines

Nothing was seen by callers.

Change: base/machine_share computes it in one place, with one least share of a machine.

Evidence: three tests, which fail before: 32,704 and 32,705 of 100,000 tasks; 100,000,000 tasks allowed in a hundredth of a machine.

--- a/src/cloud/demand.cpp
+++ b/src/cloud/demand.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <set>
 
+#include "base/machine_share.hpp"
+
 namespace kestrelhoist {
 namespace {
 
@@ -25,7 +27,7 @@
 // Returns how many machines the tasks fill. Only whole tasks fit on a machine, so a task that needs
 // slightly more than half of a machine counts as a whole machine.
 double machinesFor(const MachineType& type, const Resources& perTask, std::uint32_t tasks) {
-  double perMachine = std::floor(1.0 / std::max(1e-6, perTask.shareOf(type.capacity)) + 1e-6);
+  double perMachine = std::floor(1.0 / countedShare(perTask.shareOf(type.capacity)) + 1e-6);
   return tasks / std::max(1.0, perMachine);
 }
 
--- a/src/placement/job_queue.cpp
+++ b/src/placement/job_queue.cpp
@@ -5,6 +5,8 @@
 #include <numeric>
 #include <tuple>
 
+#include "base/machine_share.hpp"
+
 namespace kestrelhoist {
 namespace {
 
@@ -103,8 +105,8 @@
     for (auto j : overtaken) {
       double machines = settings.overtakenShare * machinesFor[j] - allocatedMachines;
       if (machines <= 0) break;
-      auto fairTasks = static_cast<std::uint32_t>(
-          std::max(1.0, std::floor(machines / std::max(1e-6, shareOf[j]) + 1e-6)));
+      std::uint32_t fairTasks =
+          std::max(1U, tasksFor(machines, shareOf[j], jobs[j].placed + jobs[j].waiting));
       // All tasks of a gang must run at once.
       if (jobs[j].spec->kind == JobKind::gang) fairTasks = jobs[j].placed + jobs[j].waiting;
       std::uint32_t addedTasks =
--- a/src/placement/job_queue_test.cpp
+++ b/src/placement/job_queue_test.cpp
@@ -51,6 +51,16 @@
   EXPECT_EQ(order(jobs, 60)[0].job, 1U);
 }
 
+// Guards against a part that becomes small again because the number of tiny tasks that fit into it
+// is beyond an integer: 17,180 machines hold 2^32 of them four times.
+TEST(Order, TinyTasksGetTheirWholePartOnManyMachines) {
+  std::vector<QueuedJob> jobs{job("j-1", 100000, 0, 600000), job("j-2", 8, 58, 120)};
+  auto entries = order(jobs, 60, 17180, 1e-9);
+  ASSERT_EQ(entries.size(), 3U);
+  EXPECT_EQ(entries[0].job, 0U);
+  EXPECT_EQ(entries[0].maxTasks, 100000U);
+}
+
 TEST(Order, JobsOfOneMomentDoNotPassEachOther) {
   auto entries = order({job("j-1", 300, 0, 6000), job("j-2", 8, 20, 120)}, 100);
   EXPECT_EQ(entries[0].job, 1U);
--- a/src/policy/policy_state.cpp
+++ b/src/policy/policy_state.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "base/machine_share.hpp"
+
 namespace kestrelhoist {
 namespace {
 
@@ -128,7 +130,7 @@
   // Each job may run one task, so that no job waits longer than four minutes for its first task.
   for (auto j : unsatisfied) {
     if (jobs[j].waiting + jobs[j].held > 0) maxTasks[j] = 1;
-    machines -= maxTasks[j] * jobs[j].share;
+    machines -= maxTasks[j] * countedShare(jobs[j].share);
   }
   // The remaining machines are shared evenly. A job that needs less than an even share leaves the
   // difference to the other jobs.
@@ -138,11 +140,10 @@
     std::vector<std::size_t> remaining;
     for (auto j : unsatisfied) {
       std::uint32_t wants = jobs[j].waiting + jobs[j].held;
-      auto additional =
-          static_cast<std::uint32_t>(evenShare / std::max(1e-6, jobs[j].share) + 1e-6);
-      additional = std::min(additional, wants > maxTasks[j] ? wants - maxTasks[j] : 0);
+      std::uint32_t additional =
+          tasksFor(evenShare, jobs[j].share, wants > maxTasks[j] ? wants - maxTasks[j] : 0);
       maxTasks[j] += additional;
-      allocated += additional * jobs[j].share;
+      allocated += additional * countedShare(jobs[j].share);
       if (maxTasks[j] < wants) remaining.push_back(j);
     }
     machines -= allocated;
--- a/src/policy/policy_test.cpp
+++ b/src/policy/policy_test.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "base/machine_share.hpp"
 #include "policy/failover_coverage.hpp"
 #include "policy/policy_replica.hpp"
 
@@ -223,6 +224,21 @@
   RC_ASSERT(given <= std::max(machines, least) + 1e-6);
 }
 
+// Guards against a limit that becomes small again because the number of tasks that fit into an
+// even share is beyond an integer: 4,295 machines hold more than 2^32 that take nothing.
+TEST(ShareAmong, TasksThatTakeNothingAllFitIntoManyMachines) {
+  EXPECT_EQ(maxTasksOfYieldingJobs({{0, 100000, 0}}, 4295)[0], 100000U);
+}
+
+// Guards against a plan that takes seconds where tiny tasks share little: each round gave out less
+// than it counted as fitting, so that the rounds went on.
+TEST(ShareAmong, TinyTasksCountAsTheLeastShareOfAMachine) {
+  std::vector<YieldingJob> jobs(1000, YieldingJob{1e-12, 100000, 0});
+  double given = 0;
+  for (auto tasks : maxTasksOfYieldingJobs(jobs, 0.01)) given += tasks;
+  EXPECT_LE(given, 0.01 / kMinTaskShare + 1);
+}
+
 // Returns the maximum number of placed replicas by trying every assignment.
 std::uint32_t bestOf(const std::vector<CoverageMachine>& machines, std::vector<double> room,
                      const std::vector<CoverageReplicas>& one, std::size_t next,
