Let no program end by SIGPIPE

What callers saw: a controller that stood still ended when it went on, with nothing in its log, as clients had given up their connections meanwhile; a command whose output was closed was ended by a signal.

Cause: a write to a connection or pipe whose other end has gone raises SIGPIPE, which ends the process. Only the simulator ignored it, and the controllers and tasks that it started inherited that, so that no test saw the fault.

Change: controllers, commands and the simulator ignore the signal, and what the simulator starts gets default signals. Commands end with exit code 9 if their output can't be written. The client library blocks the signal in its own thread and leaves its host as it is. Closed standard streams are replaced, since a socket would get their number.

Evidence: BrokenPipes.*, processes with default signals.

--- a/cli/admin_main.cpp
+++ b/cli/admin_main.cpp
@@ -5,11 +5,12 @@
 #include "base/log.hpp"
 #include "cli/commands.hpp"
 #include "cli/job_commands.hpp"
+#include "cli/output.hpp"
 #include "jobs/spec.hpp"
 
 using namespace kestrelhoist;
 
-int main(int argc, char** argv) {
+static int run(int argc, char** argv) {
   CLI::App app{
       "hoist-admin manages the member keys and the policy of kestrelhoist and shows why jobs wait"};
   app.require_subcommand(1);
@@ -107,8 +108,14 @@
     if (list->parsed()) return hoist::keyList(o);
     if (rotate->parsed()) return hoist::keyRotate(o);
     return hoist::keyRevoke(o);
+  } catch (const std::ios_base::failure&) {
+    throw;
   } catch (const std::exception& e) {
     std::fprintf(stderr, "hoist-admin: %s\n", e.what());
     return hoist::kUsage;
   }
 }
+
+int main(int argc, char** argv) {
+  return hoist::runWithOutput([&] { return run(argc, argv); });
+}
--- a/cli/commands.hpp
+++ b/cli/commands.hpp
@@ -15,12 +15,13 @@
 
 /// The exit codes of the programs.
 inline constexpr int kOk = 0, kUsage = 2, kRuleFile = 3, kRefused = 4, kConflict = 5, kUnknown = 6,
-                     kUnavailable = 7, kFailed = 8;
+                     kUnavailable = 7, kFailed = 8, kOutputClosed = 9;
 /// The help text on the exit codes.
 inline constexpr const char* kExitCodes =
     "Exit codes: 0 done, 2 usage or settings, 3 the rule file is not accepted, 4 refused by the "
     "service, 5 another version or flow was first, 6 no such flow, 7 no usable answer (done, or "
-    "not: ask again), 8 the flow failed or was cancelled.";
+    "not: ask again), 8 the flow failed or was cancelled, 9 "
+    "the output could not be written.";
 
 /// The options of the command line.
 struct Options {
--- a/cli/main.cpp
+++ b/cli/main.cpp
@@ -9,10 +9,11 @@
 #include "base/log.hpp"
 #include "cli/commands.hpp"
 #include "cli/job_main.hpp"
+#include "cli/output.hpp"
 
 using namespace kestrelhoist;
 
-int main(int argc, char** argv) {
+static int run(int argc, char** argv) {
   CLI::App app{
       "hoist submits jobs and rule files (Snakemake, Make) to kestrelhoist and follows them"};
   app.require_subcommand(1);
@@ -138,9 +139,15 @@
     if (o.json)
       std::printf("%s\n", Json({{"error", e.what()}, {"construct", e.construct()}}).dump().c_str());
     return hoist::kRuleFile;
+  } catch (const std::ios_base::failure&) {
+    throw;
   } catch (const std::exception& e) {
     std::fprintf(stderr, "hoist: %s\n", e.what());
     return hoist::kUsage;
   }
   return hoist::kUsage;
 }
+
+int main(int argc, char** argv) {
+  return hoist::runWithOutput([&] { return run(argc, argv); });
+}
--- a/client/src/client.cpp
+++ b/client/src/client.cpp
@@ -10,6 +10,7 @@
 #include <thread>
 
 #include "base/http.hpp"
+#include "base/process_signals.hpp"
 #include "base/tls.hpp"
 #include "client/src/job_watcher.hpp"
 
@@ -90,6 +91,8 @@
   }
 
   void run() {
+    // The signals of the host program stay as they are.
+    blockBrokenPipesInThread();
     EventLoop own;
     EvHttpClient http(own, kMaxConnections);
     std::string fault;
--- a/simulator/host/process_tasks.cpp
+++ b/simulator/host/process_tasks.cpp
@@ -11,6 +11,7 @@
 #include <fstream>
 
 #include "base/log.hpp"
+#include "base/process_signals.hpp"
 #include "rules/execute.hpp"
 
 namespace kestrelhoist::simulator {
@@ -161,9 +162,7 @@
     setenv("HOIST", settings_.hoist.c_str(), 1);
     setenv("HOIST_SERVERS", servers.c_str(), 1);
     setenv("HOIST_FILES", settings_.files.c_str(), 1);
-    sigset_t none;
-    sigemptyset(&none);
-    sigprocmask(SIG_SETMASK, &none, nullptr);
+    restoreDefaultSignals();
     execl("/bin/bash", "bash", "-c", description.instance.command.c_str(),
           static_cast<char*>(nullptr));
     _exit(127);
--- a/simulator/main.cpp
+++ b/simulator/main.cpp
@@ -14,6 +14,7 @@
 #include <random>
 
 #include "base/log.hpp"
+#include "base/process_signals.hpp"
 #include "simulator/host/link_proxy.hpp"
 #include "simulator/host/loop_seams.hpp"
 #include "simulator/host/process_tasks.hpp"
@@ -145,9 +146,7 @@
       prctl(PR_SET_PDEATHSIG, SIGKILL);
       FILE* out = std::freopen(log.c_str(), "a", stderr);
       for (int fd = 3; fd < 1024; ++fd) close(fd);
-      sigset_t none;
-      sigemptyset(&none);
-      sigprocmask(SIG_SETMASK, &none, nullptr);
+      kh::restoreDefaultSignals();
       if (!out) _exit(126);
       if (options_.operatorFile.empty()) {
         execlp(options_.program.c_str(), "kestrelhoist", "--config", config.c_str(),
@@ -268,7 +267,7 @@
   CLI11_PARSE(app, argc, argv);
   kh::setupLogging("region");
   prctl(PR_SET_PDEATHSIG, SIGTERM);
-  signal(SIGPIPE, SIG_IGN);
+  kh::ignoreBrokenPipes();
 
   try {
     o.directory = fs::absolute(o.directory).string();
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -8,10 +8,13 @@
 #include "app/servers.hpp"
 #include "base/http.hpp"
 #include "base/log.hpp"
+#include "base/process_signals.hpp"
 
 namespace kh = kestrelhoist;
 
 int main(int argc, char** argv) {
+  kh::openClosedStandardStreams();
+  kh::ignoreBrokenPipes();
   CLI::App app{"kestrelhoist, a cluster scheduler: runs one controller until it is killed"};
   std::string config, operatorFile;
   bool check = false;
--- a/tests/child_process.hpp
+++ b/tests/child_process.hpp
@@ -46,6 +46,8 @@
   ChildProcess(const ChildProcess&) = delete;
   ChildProcess& operator=(const ChildProcess&) = delete;
 
+  pid_t pid() const { return pid_; }
+
   bool hasEnded() {
     if (!status_) {
       int status = 0;
