Let controllers go on when their terminal closes

What callers saw: a controller started from a terminal ended by SIGHUP when that closed. It runs until it is killed, so it ignores this signal; SIGTERM and SIGKILL end it.

Evidence: BrokenPipes.AControllerOutlivesItsTerminal fails before and passes now.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -15,6 +15,7 @@
 int main(int argc, char** argv) {
   kh::openClosedStandardStreams();
   kh::ignoreBrokenPipes();
+  kh::ignoreTerminalHangup();
   CLI::App app{"kestrelhoist, a cluster scheduler: runs one controller until it is killed"};
   std::string config, operatorFile;
   bool check = false;
--- a/src/base/process_signals.cpp
+++ b/src/base/process_signals.cpp
@@ -16,8 +16,11 @@
   pthread_sigmask(SIG_BLOCK, &brokenPipe, nullptr);
 }
 
+void ignoreTerminalHangup() { std::signal(SIGHUP, SIG_IGN); }
+
 void restoreDefaultSignals() {
   std::signal(SIGPIPE, SIG_DFL);
+  std::signal(SIGHUP, SIG_DFL);
   sigset_t none;
   sigemptyset(&none);
   sigprocmask(SIG_SETMASK, &none, nullptr);
--- a/src/base/process_signals.hpp
+++ b/src/base/process_signals.hpp
@@ -13,6 +13,9 @@
 /// process as it is. For threads of a library.
 void blockBrokenPipesInThread();
 
+/// Lets the process go on when its terminal closes.
+void ignoreTerminalHangup();
+
 /// Restores the default dispositions and unblocks all signals. For a child process before exec(),
 /// since ignored and blocked signals stay so in the new program.
 void restoreDefaultSignals();
--- a/tests/broken_pipes_test.cpp
+++ b/tests/broken_pipes_test.cpp
@@ -202,6 +202,15 @@
   EXPECT_FALSE(controller.process->hasEnded());
 }
 
+// Guards against a controller that ends with the terminal from which it was started.
+TEST(BrokenPipes, AControllerOutlivesItsTerminal) {
+  LoneController controller;
+  ASSERT_TRUE(controller.answers());
+  kill(controller.process->pid(), SIGHUP);
+  EXPECT_TRUE(controller.answers());
+  EXPECT_FALSE(controller.process->hasEnded());
+}
+
 // Returns how a command of the users ends when nobody reads its output.
 std::string endWithoutReader(std::vector<std::string> words) {
   TemporaryDirectory directory;
