Pause a listener that can't accept a connection

What callers saw: nothing yet; found while looking at what else ends or stops a controller from outside. Without a free file descriptor the connection stays in the listener's queue, so the event loop tried again without end and wrote a warning each time.

--- a/src/base/http.hpp
+++ b/src/base/http.hpp
@@ -19,6 +19,7 @@
 
 namespace kestrelhoist {
 
+class AcceptBackoff;
 class TlsClient;
 class TlsServer;
 
@@ -77,6 +78,7 @@
   std::shared_ptr<TlsServer> tls_;
   ServerLimits limits_;
   std::map<bufferevent*, std::unique_ptr<Arrival>> arrivals_;
+  std::unique_ptr<AcceptBackoff> acceptBackoff_;
   int port_{};
 };
 
--- a/src/base/http_server.cpp
+++ b/src/base/http_server.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <stdexcept>
 
+#include "base/accept_backoff.hpp"
 #include "base/http.hpp"
 #include "base/log.hpp"
 #include "base/tls.hpp"
@@ -97,6 +98,7 @@
     evhttp_free(http_);
     throw std::runtime_error("cannot listen on " + address);
   }
+  acceptBackoff_ = std::make_unique<AcceptBackoff>(evhttp_bound_socket_get_listener(bound));
   sockaddr_in name{};
   socklen_t size = sizeof name;
   if (getsockname(evhttp_bound_socket_get_fd(bound), reinterpret_cast<sockaddr*>(&name), &size) ==
@@ -105,7 +107,10 @@
   }
 }
 
-HttpServer::~HttpServer() { evhttp_free(http_); }
+HttpServer::~HttpServer() {
+  acceptBackoff_.reset();
+  evhttp_free(http_);
+}
 
 bufferevent* HttpServer::onConnection(event_base* base, void* selfPointer) {
   auto* self = static_cast<HttpServer*>(selfPointer);
--- a/tests/broken_pipes_test.cpp
+++ b/tests/broken_pipes_test.cpp
@@ -211,6 +211,17 @@
   EXPECT_FALSE(controller.process->hasEnded());
 }
 
+// Guards against a controller without free file descriptors that tries to accept without end.
+TEST(BrokenPipes, AControllerWithoutFreeDescriptorsPausesAndServesAgain) {
+  LoneController controller;
+  ASSERT_TRUE(controller.answers());
+  controller.useAllDescriptors();
+  EXPECT_TRUE(controller.answers());
+  std::ifstream log(controller.logFile());
+  const auto lines = std::count(std::istreambuf_iterator<char>(log), {}, '\n');
+  EXPECT_LT(lines, 200);
+}
+
 // Returns how a command of the users ends when nobody reads its output.
 std::string endWithoutReader(std::vector<std::string> words) {
   TemporaryDirectory directory;
